--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+VENV := .venv
+BIN := $(VENV)/bin
+PYTHON := python3.11
+PACKAGES := cyclamentally cyclamentally-node cyclamentally-cli cyclamentally-testing
+
+.PHONY: install test lint demo clean
+
+install: $(VENV)/.installed
+
+$(VENV)/.installed: constraints.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt \
+		$(foreach p,$(PACKAGES),-e packages/$(p)) pytest hypothesis ruff
+	touch $@
+
+lint: install
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+test: lint
+	$(BIN)/python -m pytest
+
+demo: install
+	$(BIN)/python -m cyclamentally_testing.demo
+
+clean:
+	rm -rf $(VENV) build
--- /dev/null
+++ b/packages/cyclamentally/cyclamentally/charts/__init__.py
@@ -0,0 +1,1 @@
+"""Chart files of the life cycles."""
--- /dev/null
+++ b/packages/cyclamentally/cyclamentally/control.py
@@ -0,0 +1,229 @@
+"""All control decisions of one node behind one object."""
+
+from cyclamentally.distribution import Distribution
+from cyclamentally.effects import ConfigurationChanged, Count
+from cyclamentally.errors import Kind
+from cyclamentally.lifecycle import NodeLife
+from cyclamentally.members import ALIVE, MemberTable, is_live
+from cyclamentally.membership import Membership
+from cyclamentally.messages import (
+    Ack,
+    Beat,
+    BeatAck,
+    BucketHashes,
+    Busy,
+    ChangePush,
+    IndirectAck,
+    JoinRequest,
+    MemberDigest,
+    MemberUpdates,
+    Ping,
+    PingRequest,
+    Report,
+    StatusReply,
+    StatusRequest,
+    Summary,
+    VersionDigest,
+)
+from cyclamentally.model import MemberRecord
+from cyclamentally.probes import Prober
+from cyclamentally.records import Record
+from cyclamentally.relays import Relay
+from cyclamentally.reports import Reporter, StatusBoard
+from cyclamentally.snapshot import EMPTY_SNAPSHOT, build_snapshot
+from cyclamentally.topology import Topology
+from cyclamentally.versions import VersionTable
+
+TICK_S = 0.2
+
+
+class Identity(Record):
+    """Who and where a node is.
+
+    Parameters
+    ----------
+    node : str
+        Identifier, unique in the fleet.
+    domain, region : str
+        Failure domain and its region.
+    address : str
+        Peer address, ``IP:port``.
+    incarnation : int
+        First incarnation; a restarted node takes a higher one.
+    """
+
+    __slots__ = ("node", "domain", "region", "address", "incarnation")
+
+    def __init__(self, node, domain, region, address, incarnation):
+        self.node = node
+        self.domain = domain
+        self.region = region
+        self.address = address
+        self.incarnation = incarnation
+
+
+class ControlPlane:
+    """Membership, distribution, relay duty and status of one node.
+
+    Feed it messages, ticks and platform events; carry out the effects.
+
+    Parameters
+    ----------
+    identity : Identity
+        Who the node is.
+    home_region : str
+        Region of the platform.
+    seeds : list of str
+        Peer addresses to join through.
+    codec : BodyCodec
+        Encoding of profile bodies.
+    random : random.Random
+        Source of random numbers.
+    now : float
+        Time in seconds.
+    """
+
+    __slots__ = (
+        "board",
+        "distribution",
+        "handlers",
+        "identity",
+        "life",
+        "membership",
+        "prober",
+        "relay",
+        "reporter",
+        "snapshot",
+        "table",
+        "topology",
+        "versions",
+    )
+
+    def __init__(self, identity, home_region, seeds, codec, random, now):
+        self.identity = identity
+        self.versions = VersionTable(codec)
+        self.table = MemberTable(_first_record(identity))
+        self.topology = Topology(self.table, home_region)
+        shared = (self.topology, self.summarize)
+        self.membership = Membership(self.table, *shared, random, now)
+        self.prober = Prober(self.membership, self.summarize, random, now)
+        self.distribution = Distribution(self.versions, *shared, random, now)
+        self.relay = Relay(self.membership, *shared, now)
+        self.reporter = Reporter(self.versions, *shared, random, now)
+        self.board = StatusBoard(self.versions, *shared)
+        self.life = NodeLife(self.membership, self.distribution, seeds, random, now)
+        self.snapshot = EMPTY_SNAPSHOT
+        self.handlers = self._handlers()
+
+    def summarize(self):
+        """Return the summary that travels with every message."""
+        return Summary(
+            self.identity.node,
+            self.identity.address,
+            self.identity.region,
+            self.table.hash,
+            self.versions.hash,
+            self.versions.total,
+            self.life.state == "serving",
+        )
+
+    def tick(self, now):
+        """Run what is due; call every `TICK_S` seconds."""
+        effects = self.life.tick(now)
+        effects += self.prober.tick(now)
+        effects += self.membership.tick(now)
+        effects += self.relay.tick(now)
+        effects += self.distribution.tick(now)
+        effects += self.reporter.tick(now)
+        return self._settle(effects)
+
+    def receive(self, message, now):
+        """Handle a message of another node.
+
+        Returns
+        -------
+        list
+            Effects to carry out in this order.
+        """
+        handler = self.handlers.get(type(message))
+        if handler is None or message.sender.node == self.identity.node:
+            return [Count("messages_refused_total", Kind.MESSAGE_MALFORMED)]
+        effects = handler(message, now) or []
+        summary = message.sender
+        self.membership.on_summary(summary, now)
+        self.distribution.on_summary(summary, now)
+        effects += self.life.on_summary(summary, now)
+        return self._settle(effects)
+
+    def on_platform_versions(self, versions, is_complete, now):
+        """Install versions that the platform returned.
+
+        Parameters
+        ----------
+        versions : list of ProfileVersion
+            Versions read.
+        is_complete : bool
+            Whether these are all profiles of the platform.
+        now : float
+            Time in seconds.
+        """
+        effects = self.distribution.on_platform(versions, now)
+        if is_complete:
+            effects += self.life.on_platform_read()
+        return self._settle(effects)
+
+    def on_platform_state(self, is_reachable):
+        """Note whether the platform answers."""
+        return self.relay.on_platform_state(is_reachable)
+
+    def announce(self, upstreams):
+        """Replace the upstreams on this node's host."""
+        changed = [ConfigurationChanged()]
+        return self._settle(changed + self.membership.announce(upstreams))
+
+    def stop(self):
+        """Announce that this node stops."""
+        return self._settle(self.life.stop())
+
+    def _settle(self, effects):
+        """Replace the snapshot once, however many changes there were."""
+        if not any(isinstance(e, ConfigurationChanged) for e in effects):
+            return effects
+        live = [record for record in self.table.records() if is_live(record)]
+        self.snapshot = build_snapshot(
+            self.snapshot.generation + 1, self.versions.profiles(), live
+        )
+        others = [e for e in effects if not isinstance(e, ConfigurationChanged)]
+        return [*others, ConfigurationChanged()]
+
+    def _handlers(self):
+        return {
+            Ping: self.prober.on_ping,
+            Ack: self.prober.on_ack,
+            PingRequest: self.prober.on_ping_request,
+            IndirectAck: self.prober.on_indirect_ack,
+            JoinRequest: self.membership.on_join,
+            MemberUpdates: self.membership.on_updates,
+            MemberDigest: self.membership.on_digest,
+            BucketHashes: lambda m, now: self.membership.on_bucket_hashes(m),
+            Beat: self.relay.on_beat,
+            BeatAck: lambda m, now: self.membership.apply(m.updates, m.sender, now),
+            ChangePush: self.distribution.on_push,
+            VersionDigest: self.distribution.on_digest,
+            Busy: self.distribution.on_busy,
+            Report: lambda m, now: self.board.on_report(m),
+            StatusRequest: lambda m, now: self.board.on_request(m),
+            StatusReply: lambda m, now: self.board.on_reply(m),
+        }
+
+
+def _first_record(identity):
+    return MemberRecord(
+        identity.node,
+        identity.incarnation,
+        ALIVE,
+        identity.domain,
+        identity.region,
+        identity.address,
+        [],
+    )
--- /dev/null
+++ b/packages/cyclamentally/cyclamentally/distribution.py
@@ -0,0 +1,273 @@
+"""Spread of profile versions: push along trees, then repair by digests."""
+
+from cyclamentally.effects import Count, Send
+from cyclamentally.errors import Kind, Refused
+from cyclamentally.limits import TokenBucket
+from cyclamentally.messages import Busy, ChangePush, VersionDigest
+from cyclamentally.records import Record
+
+REPAIR_DELAY_S = 0.3
+REPAIR_JITTER_S = 0.5
+BACKUP_DELAY_S = 0.5
+WHOLE_RATE = 10.0
+WHOLE_BURST = 10.0
+WHOLE_WAIT_S = 2.0
+WHOLE_CHANGES = 8
+PUSH_BYTES = 256 * 1024
+MAX_WAIT_S = 30.0
+MAX_VERSION = 2**53
+
+
+class RepairPlan(Record):
+    """A peer that may have newer versions, and when to ask it."""
+
+    __slots__ = ("summary", "due")
+
+    def __init__(self, summary, due):
+        self.summary = summary
+        self.due = due
+
+
+class Distribution:
+    """Decide who sends which version to whom.
+
+    Parameters
+    ----------
+    versions : VersionTable
+        Versions of this node.
+    topology : Topology
+        Roles and trees.
+    summarize : callable
+        Returns the `Summary` of this node.
+    random : random.Random
+        Source of random numbers.
+    now : float
+        Time in seconds.
+    """
+
+    __slots__ = (
+        "backup",
+        "backup_due",
+        "incomplete",
+        "not_before",
+        "plan",
+        "random",
+        "summarize",
+        "topology",
+        "versions",
+        "whole_limit",
+    )
+
+    def __init__(self, versions, topology, summarize, random, now):
+        self.versions = versions
+        self.topology = topology
+        self.summarize = summarize
+        self.random = random
+        self.whole_limit = TokenBucket(WHOLE_RATE, WHOLE_BURST, now)
+        self.plan = None
+        self.not_before = now
+        self.incomplete = set()
+        self.backup = {}
+        self.backup_due = 0.0
+
+    def on_platform(self, versions, now):
+        """Install versions read from the platform and push them.
+
+        Parameters
+        ----------
+        versions : list of ProfileVersion
+            Versions in any order.
+        now : float
+            Time in seconds.
+        """
+        installed = self._install(versions)
+        return installed.effects + self._push_own(installed.names, "", now)
+
+    def on_push(self, push, now):
+        """Install pushed versions and forward those that were new."""
+        installed = self._restore(push.changes)
+        effects = installed.effects
+        if push.root:
+            self._cancel_backup(push.changes)
+            effects += self._push(push.root, installed.names)
+            if push.root != self.topology.table.own:
+                effects += self._push_across(installed.names, push.sender.node)
+        else:
+            effects += self._push_own(installed.names, push.sender.node, now)
+        if self.incomplete:
+            effects.append(self._request(push.sender))
+        return effects
+
+    def on_digest(self, digest, now):
+        """Send what the peer lacks; ask for what it has and this node lacks."""
+        known = dict(zip(digest.names, digest.versions, strict=False))
+        for name in digest.whole:
+            known[name] = 0
+        names = [n for n in self.versions.slots if self._is_newer(n, known)]
+        effects = self._transfer(names, known, digest.sender, now)
+        is_behind = any(v > self.versions.seen(n) for n, v in known.items())
+        if is_behind and digest.wants_answer:
+            effects.append(self._request(digest.sender, wants_answer=False))
+        return effects
+
+    def on_busy(self, busy, now):
+        """Wait as long as the peer asked."""
+        wait = min(max(busy.wait, 0.0), MAX_WAIT_S)
+        self.not_before = max(self.not_before, now + wait)
+        self.plan = None
+        return [Count("retries_total", Kind.TRANSFER_BUSY)]
+
+    def on_summary(self, summary, now):
+        """Plan a repair if a peer may have newer versions."""
+        if summary.versions == self.versions.hash:
+            if self.plan and self.plan.summary.node == summary.node:
+                self.plan = None
+            return
+        if summary.total >= self.versions.total and self.plan is None:
+            delay = REPAIR_DELAY_S + self.random.uniform(0, REPAIR_JITTER_S)
+            self.plan = RepairPlan(summary, now + delay)
+
+    def tick(self, now):
+        """Run what is due."""
+        effects = []
+        if self.backup and now >= self.backup_due:
+            names = list(self.backup)
+            self.backup.clear()
+            effects += self._push(self.topology.table.own, names)
+        if self.plan and now >= max(self.plan.due, self.not_before):
+            summary, self.plan = self.plan.summary, None
+            if summary.versions != self.versions.hash:
+                effects.append(Count("version_repairs_total"))
+                effects.append(self._request(summary))
+                self.not_before = now + REPAIR_DELAY_S
+        return effects
+
+    def request(self, address, region):
+        """Ask a peer for everything newer than what is installed here."""
+        return Send(address, region, self._digest(wants_answer=True))
+
+    def _install(self, versions):
+        effects, names = [], []
+        for version in versions:
+            before = self.versions.seen(version.name)
+            effects += self.versions.install(version)
+            if self.versions.seen(version.name) != before:
+                self.incomplete.discard(version.name)
+                names.append(version.name)
+        return Installed(effects, names)
+
+    def _restore(self, changes):
+        effects, versions = [], []
+        for change in changes:
+            if change.version <= self.versions.seen(change.name):
+                effects.append(Count("versions_refused_total", Kind.VERSION_STALE))
+                continue
+            if change.version > MAX_VERSION:
+                effects.append(Count("versions_refused_total", Kind.MESSAGE_MALFORMED))
+                continue
+            restored = self.versions.restore(change)
+            if isinstance(restored, Refused):
+                effects.append(Count("versions_refused_total", restored.kind))
+                if restored.kind == Kind.DELTA_UNUSABLE:
+                    self.incomplete.add(change.name)
+            else:
+                versions.append(restored.value)
+        installed = self._install(versions)
+        return Installed(effects + installed.effects, installed.names)
+
+    def _push_own(self, names, sender, now):
+        """Push versions that came from outside of the own domain's tree."""
+        if not names or not self.topology.is_relay():
+            return []
+        own = self.topology.table.own_record
+        effects = self._push_across(names, sender)
+        if self.topology.relays(own.domain)[0] == own.node:
+            return effects + self._push(own.node, names)
+        self.backup.update(dict.fromkeys(names))
+        self.backup_due = now + BACKUP_DELAY_S
+        return effects
+
+    def _push(self, root, names):
+        return self._send_changes(self.topology.children(root), root, names)
+
+    def _push_across(self, names, sender):
+        followers = [n for n in self.topology.followers() if n != sender]
+        return self._send_changes(followers, "", names)
+
+    def _send_changes(self, nodes, root, names):
+        if not names or not nodes:
+            return []
+        changes = [self._latest_change(name) for name in names]
+        changes = [change for change in changes if change is not None]
+        effects = []
+        for batch in split_by_bytes(changes):
+            push = ChangePush(self.summarize(), root, batch)
+            for node in nodes:
+                record = self.topology.table.get(node)
+                effects.append(Send(record.address, record.region, push))
+        return effects
+
+    def _latest_change(self, name):
+        slot = self.versions.slots[name]
+        previous = slot.previous.version if slot.previous else 0
+        return self.versions.change(name, previous)
+
+    def _is_newer(self, name, known):
+        return self.versions.seen(name) > known.get(name, 0)
+
+    def _transfer(self, names, known, receiver, now):
+        if len(names) >= WHOLE_CHANGES and not self.whole_limit.take(now):
+            wait = self.random.uniform(0, WHOLE_WAIT_S)
+            busy = Busy(self.summarize(), wait)
+            return [
+                Count("transfers_refused_total", Kind.TRANSFER_BUSY),
+                Send(receiver.address, receiver.region, busy),
+            ]
+        changes = [self.versions.change(name, known.get(name, 0)) for name in names]
+        return [
+            Send(
+                receiver.address,
+                receiver.region,
+                ChangePush(self.summarize(), "", batch),
+            )
+            for batch in split_by_bytes(changes) or [[]]
+        ]
+
+    def _request(self, summary, wants_answer=True):
+        digest = self._digest(wants_answer)
+        return Send(summary.address, summary.region, digest)
+
+    def _digest(self, wants_answer):
+        names = list(self.versions.slots)
+        seen = [self.versions.seen(name) for name in names]
+        whole = sorted(self.incomplete)
+        self.incomplete.clear()
+        return VersionDigest(self.summarize(), names, seen, whole, wants_answer)
+
+    def _cancel_backup(self, changes):
+        for change in changes:
+            if change.version >= self.versions.seen(change.name):
+                self.backup.pop(change.name, None)
+
+
+class Installed(Record):
+    """Effects of an installation and the profiles that moved."""
+
+    __slots__ = ("effects", "names")
+
+    def __init__(self, effects, names):
+        self.effects = effects
+        self.names = names
+
+
+def split_by_bytes(changes):
+    """Return the changes in lists that stay under the size of a push."""
+    batches = []
+    size = PUSH_BYTES
+    for change in changes:
+        if size + len(change.body) > PUSH_BYTES:
+            batches.append([])
+            size = 0
+        batches[-1].append(change)
+        size += len(change.body)
+    return batches
--- /dev/null
+++ b/packages/cyclamentally/cyclamentally/effects.py
@@ -0,0 +1,87 @@
+"""What a decision object asks its surroundings to do."""
+
+from cyclamentally.records import Record
+
+
+class Send(Record):
+    """Send a message to a node.
+
+    Parameters
+    ----------
+    address : str
+        Peer address, ``IP:port``.
+    region : str
+        Region of the receiver, for the count of bytes by region pair.
+    message : object
+        One of the classes of `cyclamentally.messages`.
+    """
+
+    __slots__ = ("address", "message", "region")
+
+    def __init__(self, address, region, message):
+        self.address = address
+        self.region = region
+        self.message = message
+
+
+class Count(Record):
+    """Add to a counter.
+
+    Parameters
+    ----------
+    name : str
+        Name of the counter.
+    label : str
+        Reason, kind or other label value.
+    amount : int
+        Added value.
+    """
+
+    __slots__ = ("amount", "label", "name")
+
+    def __init__(self, name, label="", amount=1):
+        self.name = name
+        self.label = label
+        self.amount = amount
+
+
+class StateChanged(Record):
+    """Report a change of state to the log.
+
+    Parameters
+    ----------
+    subject : str
+        What changed, such as ``member node-3``.
+    state : str
+        The new state.
+    detail : str
+        Reason in one line.
+    """
+
+    __slots__ = ("detail", "state", "subject")
+
+    def __init__(self, subject, state, detail=""):
+        self.subject = subject
+        self.state = state
+        self.detail = detail
+
+
+class ConfigurationChanged(Record):
+    """Routes or upstreams changed; a new snapshot has to be built."""
+
+    __slots__ = ()
+
+
+class WatchPlatform(Record):
+    """Start or stop the watch on the platform's store.
+
+    Parameters
+    ----------
+    active : bool
+        Whether the watch is to run.
+    """
+
+    __slots__ = ("active",)
+
+    def __init__(self, active):
+        self.active = active
--- /dev/null
+++ b/packages/cyclamentally/cyclamentally/endpoints.py
@@ -0,0 +1,155 @@
+"""State of an upstream as one node sees it through its own requests."""
+
+from cyclamentally.chart import runs_chart
+from cyclamentally.effects import Count, StateChanged
+from cyclamentally.records import Record
+
+MAX_EJECT_S = 300.0
+OVERLOAD_FACTOR = 0.7
+MS = 1_000.0
+
+
+class Observation(Record):
+    """Outcome of an attempt, with what the endpoint's decisions need.
+
+    Parameters
+    ----------
+    now : float
+        Time in seconds.
+    policy : ServicePolicy
+        Limits of the service.
+    may_eject : bool
+        Whether the share of ejected upstreams leaves room for one more.
+    """
+
+    __slots__ = ("now", "policy", "may_eject")
+
+    def __init__(self, now, policy, may_eject):
+        self.now = now
+        self.policy = policy
+        self.may_eject = may_eject
+
+
+@runs_chart("endpoint")
+class Endpoint:
+    """Decide how many requests an upstream gets; runs the chart ``endpoint``.
+
+    Parameters
+    ----------
+    location : Location
+        The upstream and its place.
+    """
+
+    __slots__ = (
+        "bulk_in_flight",
+        "ejected_until",
+        "ejections",
+        "failures",
+        "in_flight",
+        "limit",
+        "location",
+        "state",
+        "warm_until",
+        "warming_since",
+    )
+
+    def __init__(self, location):
+        self.location = location
+        self.state = self.chart.initial
+        self.in_flight = 0
+        self.bulk_in_flight = 0
+        self.limit = float(self.hard_limit)
+        self.failures = 0
+        self.ejections = 0
+        self.ejected_until = 0.0
+        self.warming_since = 0.0
+        self.warm_until = 0.0
+
+    @property
+    def address(self):
+        """``IP:port`` of the upstream."""
+        return self.location.upstream.address
+
+    @property
+    def hard_limit(self):
+        """Most requests in flight that the upstream has announced."""
+        upstream = self.location.upstream
+        return max(1, min(upstream.slots, upstream.connections))
+
+    def fire(self, event, observation=None):
+        """Run an event and return the effects."""
+        before = self.state
+        effects = self.chart.fire(self, event, observation)
+        if self.state != before and self.state in ("ejected", "trial", "draining"):
+            effects.append(Count("endpoint_changes_total", self.state))
+            effects.append(StateChanged(f"upstream {self.address}", self.state, event))
+        return effects
+
+    def update(self, location):
+        """Take over a changed announcement."""
+        self.location = location
+        self.limit = min(self.limit, float(self.hard_limit))
+        if location.upstream.draining:
+            return self.fire("drain")
+        return self.fire("resume")
+
+    def tick(self, now):
+        """Run what is due."""
+        if self.state == "ejected" and now >= self.ejected_until:
+            return self.fire("eject_over")
+        if self.state == "warming" and now >= self.warm_until:
+            return self.fire("warm")
+        return []
+
+    def capacity(self, now):
+        """Return how many requests may be in flight now."""
+        limit = int(self.limit)
+        if self.state == "serving":
+            return limit
+        if self.state == "suspect":
+            return max(1, limit // 2)
+        if self.state == "warming":
+            span = max(self.warm_until - self.warming_since, 1e-9)
+            share = min(1.0, (now - self.warming_since) / span)
+            return max(1, int(limit * share))
+        return 1 if self.state in ("announced", "trial") else 0
+
+    def has_room(self, now, is_bulk, bulk_percent):
+        """Return whether one more request may be sent."""
+        capacity = self.capacity(now)
+        if self.in_flight >= capacity:
+            return False
+        return not is_bulk or self.bulk_in_flight < max(
+            1, capacity * bulk_percent // 100
+        )
+
+    def overload(self):
+        """Lower the limit after the upstream has shed a request."""
+        self.limit = max(1.0, min(self.limit, self.in_flight) * OVERLOAD_FACTOR)
+
+    def must_eject(self, observation):
+        """Whether this failure completes a row that is too long."""
+        reached = self.failures + 1 >= observation.policy.eject_failures
+        return reached and observation.may_eject
+
+    def count_failure(self, observation):
+        """Count a failure in a row."""
+        self.failures += 1
+
+    def clear_failures(self, observation):
+        """End a row of failures and raise the limit step by step."""
+        self.failures = 0
+        self.ejections = 0
+        self.limit = min(float(self.hard_limit), self.limit + 1 / self.limit)
+
+    def eject(self, observation):
+        """Set the time until which the upstream gets no request."""
+        span = observation.policy.eject_ms / MS * 2**self.ejections
+        self.ejected_until = observation.now + min(span, MAX_EJECT_S)
+        self.ejections = min(self.ejections + 1, 16)
+        self.failures = 0
+
+    def begin_warming(self, observation):
+        """Start the time of reduced load."""
+        self.warming_since = observation.now
+        self.warm_until = observation.now + observation.policy.slow_start_ms / MS
--- /dev/null
+++ b/packages/cyclamentally/cyclamentally/lifecycle.py
@@ -0,0 +1,149 @@
+"""Life of a node: join, serve once the configuration is complete, leave."""
+
+from cyclamentally.chart import runs_chart
+from cyclamentally.effects import StateChanged
+from cyclamentally.limits import Backoff
+from cyclamentally.records import Record
+
+CONFIRMATIONS = 2
+CONFIRM_WAIT_S = 1.5
+JOIN_DELAY_S = 0.5
+JOIN_DELAY_MAX_S = 10.0
+SEED_PERIOD_S = 30.0
+SEEDS_PER_TRY = 3
+
+
+class Confirmation(Record):
+    """A ready peer has shown that it has the same versions as this node."""
+
+    __slots__ = ("node", "now")
+
+    def __init__(self, node, now):
+        self.node = node
+        self.now = now
+
+
+@runs_chart("node")
+class NodeLife:
+    """Decide when this node may serve; runs the chart ``node``.
+
+    Parameters
+    ----------
+    membership : Membership
+        Used to join and leave.
+    distribution : Distribution
+        Used to fetch the configuration.
+    seeds : list of str
+        Peer addresses from the settings.
+    random : random.Random
+        Source of random numbers.
+    now : float
+        Time in seconds.
+    """
+
+    __slots__ = (
+        "backoff",
+        "confirmed_by",
+        "distribution",
+        "first_confirmed",
+        "membership",
+        "next_try",
+        "random",
+        "seeds",
+        "state",
+    )
+
+    def __init__(self, membership, distribution, seeds, random, now):
+        self.membership = membership
+        self.distribution = distribution
+        self.seeds = list(seeds)
+        self.random = random
+        self.state = self.chart.initial
+        self.confirmed_by = set()
+        self.first_confirmed = now
+        self.backoff = Backoff(JOIN_DELAY_S, JOIN_DELAY_MAX_S, random)
+        self.next_try = now
+
+    def add_seeds(self, addresses):
+        """Add peer addresses found on the platform."""
+        known = dict.fromkeys([*self.seeds, *addresses])
+        self.seeds = list(known)
+
+    def on_summary(self, summary, now):
+        """Note a ready peer that has the same versions as this node."""
+        is_equal = summary.versions == self.distribution.versions.hash
+        if self.state != "joining" or not summary.ready or not is_equal:
+            return []
+        return self._fire("confirmed", Confirmation(summary.node, now))
+
+    def on_platform_read(self):
+        """Note that all profiles were read from the platform."""
+        return self._fire("platform_read")
+
+    def stop(self):
+        """Begin to stop."""
+        return self._fire("stop")
+
+    def drained(self):
+        """Note that no request is in flight any more."""
+        return self._fire("drained")
+
+    def tick(self, now):
+        """Run what is due."""
+        if now < self.next_try or self.state in ("draining", "stopped"):
+            return []
+        if self.state == "joining" or self._is_alone():
+            self.next_try = now + self.backoff.next_delay()
+            return self._join() + self._fetch()
+        self.next_try = now + SEED_PERIOD_S
+        return self._find_strangers()
+
+    def has_confirmations(self, confirmation):
+        """Whether two peers agree, or one for as long as no other is ready."""
+        if not self.confirmed_by:
+            self.first_confirmed = confirmation.now
+        self.confirmed_by.add(confirmation.node)
+        waited = confirmation.now - self.first_confirmed
+        return len(self.confirmed_by) >= CONFIRMATIONS or waited >= CONFIRM_WAIT_S
+
+    def begin_serving(self, message):
+        """Reset what was needed for joining."""
+        self.backoff.reset()
+        self.confirmed_by.clear()
+
+    def leave(self, message):
+        """Tell the members that this node stops."""
+        return self.membership.leave()
+
+    def _fire(self, event, message=None):
+        before = self.state
+        effects = self.chart.fire(self, event, message)
+        if self.state != before:
+            effects.append(StateChanged("node", self.state, event))
+        return effects
+
+    def _is_alone(self):
+        return len(self.membership.table.members) == 1
+
+    def _join(self):
+        count = min(SEEDS_PER_TRY, len(self.seeds))
+        return self.membership.join(self.random.sample(self.seeds, count))
+
+    def _fetch(self):
+        """Ask random members for their versions."""
+        table = self.membership.table
+        own = table.own_record
+        records = [r for r in table.live(own.domain) if r.node != own.node]
+        chosen = self.random.sample(records, min(CONFIRMATIONS, len(records)))
+        return [self.distribution.request(r.address, r.region) for r in chosen]
+
+    def _find_strangers(self):
+        """Join through seeds that are not members yet."""
+        table = self.membership.table
+        if not self.membership.topology.is_relay():
+            return []
+        known = {record.address for record in table.records()}
+        strangers = [seed for seed in self.seeds if seed not in known]
+        if not strangers:
+            return []
+        return self.membership.join([self.random.choice(strangers)])
--- /dev/null
+++ b/packages/cyclamentally/cyclamentally/members.py
@@ -0,0 +1,202 @@
+"""Member records: which claim about a node supersedes which."""
+
+from cyclamentally.chart import runs_chart
+from cyclamentally.effects import ConfigurationChanged, Count, StateChanged
+from cyclamentally.hashing import hash_text
+from cyclamentally.model import MemberRecord
+
+ALIVE = "alive"
+SUSPECT = "suspect"
+DEAD = "dead"
+LEFT = "left"
+STATUS_RANK = {ALIVE: 0, SUSPECT: 1, DEAD: 2, LEFT: 3}
+BUCKET_COUNT = 32
+
+
+@runs_chart("member")
+class Member:
+    """What is known of one node; runs the chart ``member``.
+
+    Parameters
+    ----------
+    node : str
+        Identifier of the node.
+    """
+
+    __slots__ = ("node", "record", "state")
+
+    def __init__(self, node):
+        self.node = node
+        self.record = None
+        self.state = self.chart.initial
+
+    def is_newer(self, claim):
+        """Whether the claim has a higher incarnation."""
+        return claim.incarnation > self.record.incarnation
+
+    def is_not_older(self, claim):
+        """Whether the claim has at least the incarnation known."""
+        return claim.incarnation >= self.record.incarnation
+
+    def adopt(self, claim):
+        """Take over a claim of another node."""
+        return self._replace(claim, "claimed")
+
+    def accuse(self, reason):
+        """Replace the record by one with the state just entered."""
+        old = self.record
+        record = MemberRecord(
+            old.node,
+            old.incarnation,
+            self.state,
+            old.domain,
+            old.region,
+            old.address,
+            old.upstreams,
+        )
+        return self._replace(record, reason)
+
+    def _replace(self, record, reason):
+        old, self.record = self.record, record
+        effects = []
+        if old is None or old.status != record.status:
+            effects.append(Count("member_changes_total", record.status))
+            effects.append(StateChanged(f"member {self.node}", record.status, reason))
+        if old is None or _serves(old) != _serves(record):
+            effects.append(ConfigurationChanged())
+        return effects
+
+
+def is_live(record):
+    """Return whether the node takes part, suspects included."""
+    return record.status in (ALIVE, SUSPECT)
+
+
+def is_fresher(record, incarnation, rank):
+    """Return whether a record supersedes an incarnation and status rank."""
+    own = (record.incarnation, STATUS_RANK[record.status])
+    return own > (incarnation, rank)
+
+
+def bucket_of(node):
+    """Return the bucket of the member table that holds a node."""
+    return hash_text(node) % BUCKET_COUNT
+
+
+def hash_record(record):
+    """Return the hash of node, incarnation and status."""
+    return hash_text(f"{record.node}:{record.incarnation}:{record.status}")
+
+
+def _serves(record):
+    return record.upstreams if is_live(record) else None
+
+
+class MemberTable:
+    """All member records of a node, its own included.
+
+    Parameters
+    ----------
+    own : MemberRecord
+        Record of the node itself.
+    """
+
+    __slots__ = ("by_domain", "generation", "hashes", "members", "own")
+
+    def __init__(self, own):
+        self.own = own.node
+        self.members = {}
+        self.by_domain = {}
+        self.hashes = [0] * BUCKET_COUNT
+        self.generation = 0
+        self.apply(own)
+
+    @property
+    def hash(self):
+        """Hash of all records."""
+        combined = 0
+        for value in self.hashes:
+            combined ^= value
+        return combined
+
+    @property
+    def own_record(self):
+        """Record of the node itself."""
+        return self.members[self.own].record
+
+    def apply(self, claim):
+        """Apply a claim.
+
+        Returns
+        -------
+        list or None
+            Effects, or None if the claim changed nothing.
+        """
+        member = self.members.get(claim.node) or Member(claim.node)
+        return self._fire(member, f"claim_{claim.status}", claim)
+
+    def accuse(self, node, event, reason):
+        """Apply what this node found out; returns as `apply` does."""
+        return self._fire(self.members[node], event, reason)
+
+    def get(self, node):
+        """Return the record of a node, or None."""
+        member = self.members.get(node)
+        return member.record if member else None
+
+    def records(self):
+        """Return all records."""
+        return [member.record for member in self.members.values()]
+
+    def live(self, domain):
+        """Return the live records of a failure domain."""
+        nodes = self.by_domain.get(domain, ())
+        records = (self.members[node].record for node in nodes)
+        return [record for record in records if is_live(record)]
+
+    def domains(self):
+        """Return the failure domains by name with their region."""
+        regions = {}
+        for domain in sorted(self.by_domain):
+            node = next(iter(self.by_domain[domain]))
+            regions[domain] = self.members[node].record.region
+        return regions
+
+    def in_buckets(self, buckets):
+        """Return the records in some buckets."""
+        return [r for r in self.records() if bucket_of(r.node) in buckets]
+
+    def forget(self, node):
+        """Remove a tombstone."""
+        record = self.members.pop(node).record
+        self._leave_domain(record)
+        self.hashes[bucket_of(node)] ^= hash_record(record)
+
+    def _fire(self, member, event, message):
+        old = member.record
+        effects = Member.chart.fire(member, event, message)
+        if member.record is old:
+            return None
+        self._index(member, old)
+        return effects
+
+    def _leave_domain(self, record):
+        nodes = self.by_domain[record.domain]
+        nodes.discard(record.node)
+        if not nodes:
+            del self.by_domain[record.domain]
+
+    def _index(self, member, old):
+        bucket = bucket_of(member.node)
+        if old is not None:
+            self.hashes[bucket] ^= hash_record(old)
+            self._leave_domain(old)
+        self.hashes[bucket] ^= hash_record(member.record)
+        self.by_domain.setdefault(member.record.domain, set()).add(member.node)
+        self.members[member.node] = member
+        if (
+            old is None
+            or is_live(old) != is_live(member.record)
+            or old.address != member.record.address
+        ):
+            self.generation += 1
--- /dev/null
+++ b/packages/cyclamentally/cyclamentally/membership.py
@@ -0,0 +1,367 @@
+"""Membership: claims, suspicion, refutation and repair of the member table."""
+
+from cyclamentally.effects import Count, Send, StateChanged
+from cyclamentally.limits import TokenBucket
+from cyclamentally.members import (
+    ALIVE,
+    LEFT,
+    STATUS_RANK,
+    SUSPECT,
+    is_fresher,
+    is_live,
+)
+from cyclamentally.messages import (
+    BucketHashes,
+    Busy,
+    JoinRequest,
+    MemberDigest,
+    MemberUpdates,
+)
+from cyclamentally.model import MemberRecord
+from cyclamentally.records import Record
+
+SUSPICION_S = 4.0
+REPAIR_DELAY_S = 1.0
+TOMBSTONE_S = 3_600.0
+JOIN_RATE = 10.0
+JOIN_BURST = 10.0
+JOIN_WAIT_S = 2.0
+PAUSE_S = 2.0
+GOSSIP_RECORDS = 6
+GOSSIP_ROUNDS_PER_BIT = 2
+RECORDS_PER_MESSAGE = 200
+
+
+class Absorbed(Record):
+    """Effects of a list of claims, and those that were new here."""
+
+    __slots__ = ("effects", "fresh")
+
+    def __init__(self, effects, fresh):
+        self.effects = effects
+        self.fresh = fresh
+
+
+class Difference(Record):
+    """A peer whose member table differs, and since when."""
+
+    __slots__ = ("since", "summary")
+
+    def __init__(self, since, summary):
+        self.since = since
+        self.summary = summary
+
+
+class Membership:
+    """Decide who is a live member.
+
+    Only members of the own failure domain are accused. Records of other
+    domains are taken over, so a cut between domains accuses nobody.
+
+    Parameters
+    ----------
+    table : MemberTable
+        Member records.
+    topology : Topology
+        Roles and trees.
+    summarize : callable
+        Returns the `Summary` of this node.
+    random : random.Random
+        Source of random numbers.
+    now : float
+        Time in seconds.
+    """
+
+    __slots__ = (
+        "buried",
+        "differing",
+        "gossip",
+        "join_limit",
+        "last_tick",
+        "random",
+        "summarize",
+        "suspects",
+        "table",
+        "topology",
+    )
+
+    def __init__(self, table, topology, summarize, random, now):
+        self.table = table
+        self.topology = topology
+        self.summarize = summarize
+        self.random = random
+        self.last_tick = now
+        self.suspects = {}
+        self.buried = {}
+        self.gossip = {}
+        self.join_limit = TokenBucket(JOIN_RATE, JOIN_BURST, now)
+        self.differing = {}
+
+    def join(self, seeds):
+        """Ask seed addresses for the members.
+
+        Parameters
+        ----------
+        seeds : list of str
+            Peer addresses.
+        """
+        record = self.table.own_record
+        request = JoinRequest(self.summarize(), record)
+        return [Send(s, "", request) for s in seeds if s != record.address]
+
+    def leave(self):
+        """Announce that this node stops."""
+        return self._replace_own(LEFT, self.table.own_record.upstreams)
+
+    def announce(self, upstreams):
+        """Replace the upstreams of this node's record and push the record."""
+        return self._replace_own(ALIVE, upstreams)
+
+    def tick(self, now):
+        """Run what is due.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        """
+        effects = []
+        if now - self.last_tick > PAUSE_S:
+            effects += self._resume(now)
+        self.last_tick = now
+        effects += self._expire_suspects(now)
+        self._forget_old(now)
+        effects += self._repair(now)
+        return effects
+
+    def on_join(self, request, now):
+        """Take in a starting node and send it all records."""
+        sender = request.sender
+        if not self.join_limit.take(now):
+            wait = self.random.uniform(0, JOIN_WAIT_S)
+            busy = Busy(self.summarize(), wait)
+            return [
+                Count("transfers_refused_total", "join"),
+                Send(sender.address, sender.region, busy),
+            ]
+        absorbed = self._absorb([request.record], now)
+        effects = absorbed.effects + self._push_own(absorbed.fresh)
+        return effects + self._send_records(
+            sender.address, sender.region, self.table.records()
+        )
+
+    def on_updates(self, message, now):
+        """Apply records and forward the new ones along their tree."""
+        if not message.root:
+            return self.apply(message.updates, message.sender, now)
+        absorbed = self._absorb(message.updates, now)
+        effects = absorbed.effects + self._push(message.root, absorbed.fresh)
+        return effects + self._cross(absorbed.fresh, message.sender.node)
+
+    def on_bucket_hashes(self, message):
+        """Answer with a digest of the buckets that differ."""
+        own = self.table.hashes
+        pairs = zip(message.hashes, own, strict=False)
+        buckets = [i for i, (theirs, ours) in enumerate(pairs) if theirs != ours]
+        if not buckets:
+            return []
+        return [self._send_digest(message.sender, buckets, True)]
+
+    def on_digest(self, message, now):
+        """Send what is newer here and claims for what is newer there."""
+        ranks = dict(
+            zip(
+                message.nodes,
+                zip(message.incarnations, message.statuses, strict=False),
+                strict=False,
+            )
+        )
+        newer = []
+        is_behind = False
+        for record in self.table.in_buckets(set(message.buckets)):
+            known = ranks.pop(record.node, (-1, -1))
+            if is_fresher(record, *known):
+                newer.append(record)
+            elif known != (record.incarnation, STATUS_RANK[record.status]):
+                is_behind = True
+        sender = message.sender
+        effects = self._send_records(sender.address, sender.region, newer)
+        if message.wants_answer and (ranks or is_behind):
+            effects.append(self._send_digest(sender, message.buckets, False))
+        return effects
+
+    def on_summary(self, summary, now):
+        """Note whether the member table of a peer differs."""
+        if summary.members == self.table.hash:
+            self.differing.pop(summary.node, None)
+        else:
+            self.differing.setdefault(summary.node, Difference(now, summary))
+
+    def apply(self, records, sender, now):
+        """Apply claims, refute those against this node and pass on news.
+
+        Parameters
+        ----------
+        records : list of MemberRecord
+            Claims.
+        sender : Summary
+            Node that sent them.
+        now : float
+            Time in seconds.
+        """
+        absorbed = self._absorb(records, now)
+        origin = self.table.get(sender.node)
+        own = self.table.own_record
+        effects = absorbed.effects
+        if origin is not None and origin.domain != own.domain:
+            effects += self._push(own.node, absorbed.fresh)
+        return effects + self._cross(absorbed.fresh, sender.node)
+
+    def accuse(self, node, event, reason, now):
+        """Apply what this node found out about another and push it."""
+        changed = self.table.accuse(node, event, reason)
+        if changed is None:
+            return []
+        record = self.table.get(node)
+        self._changed(record, now)
+        return changed + self._push_own([record])
+
+    def gossip_for(self, node):
+        """Return the records to carry along to a node, the least sent first."""
+        chosen = sorted(self.gossip, key=self.gossip.get, reverse=True)
+        chosen = chosen[:GOSSIP_RECORDS]
+        for name in chosen:
+            self.gossip[name] -= 1
+            if self.gossip[name] == 0:
+                del self.gossip[name]
+        target = self.table.get(node)
+        if target is not None and target.status != ALIVE and node not in chosen:
+            chosen.append(node)
+        records = [self.table.get(name) for name in chosen]
+        return [record for record in records if record is not None]
+
+    def _absorb(self, records, now):
+        effects, fresh = [], []
+        for record in records:
+            if record.node == self.table.own:
+                effects += self._defend(record)
+                continue
+            changed = self.table.apply(record)
+            if changed is not None:
+                effects += changed
+                fresh.append(record)
+                self._changed(record, now)
+        return Absorbed(effects, fresh)
+
+    def _push_own(self, records):
+        """Push records found out here to the own domain and across."""
+        return self._push(self.table.own, records) + self._cross(records, "")
+
+    def _push(self, root, records):
+        if not records:
+            return []
+        message = MemberUpdates(self.summarize(), root, records)
+        return [self._send(node, message) for node in self.topology.children(root)]
+
+    def _cross(self, records, sender):
+        """Send records along the links between relays."""
+        if not records or not self.topology.is_relay():
+            return []
+        links = [self.topology.feeder(), *self.topology.followers()]
+        message = MemberUpdates(self.summarize(), "", records)
+        return [self._send(n, message) for n in links if n and n != sender]
+
+    def _send(self, node, message):
+        record = self.table.get(node)
+        return Send(record.address, record.region, message)
+
+    def _send_records(self, address, region, records):
+        effects = []
+        for first in range(0, len(records), RECORDS_PER_MESSAGE):
+            part = records[first : first + RECORDS_PER_MESSAGE]
+            message = MemberUpdates(self.summarize(), "", part)
+            effects.append(Send(address, region, message))
+        return effects
+
+    def _send_digest(self, receiver, buckets, wants_answer):
+        records = self.table.in_buckets(set(buckets))
+        digest = MemberDigest(
+            self.summarize(),
+            buckets,
+            [record.node for record in records],
+            [record.incarnation for record in records],
+            [STATUS_RANK[record.status] for record in records],
+            wants_answer,
+        )
+        return Send(receiver.address, receiver.region, digest)
+
+    def _replace_own(self, status, upstreams, floor=0):
+        old = self.table.own_record
+        record = MemberRecord(
+            old.node,
+            max(old.incarnation, floor) + 1,
+            status,
+            old.domain,
+            old.region,
+            old.address,
+            upstreams,
+        )
+        effects = self.table.apply(record)
+        self._queue(record)
+        return [*effects, *self._push_own([record])]
+
+    def _defend(self, claim):
+        own = self.table.own_record
+        if own.status == LEFT or claim.incarnation < own.incarnation:
+            return []
+        if claim.incarnation == own.incarnation and claim.status == ALIVE:
+            return []
+        refuted = self._replace_own(ALIVE, own.upstreams, claim.incarnation)
+        return [Count("refutations_total"), *refuted]
+
+    def _changed(self, record, now):
+        self._queue(record)
+        self.suspects.pop(record.node, None)
+        self.buried.pop(record.node, None)
+        if record.status == SUSPECT and record.domain == self.table.own_record.domain:
+            self.suspects[record.node] = now + SUSPICION_S
+        elif not is_live(record):
+            self.buried[record.node] = now + TOMBSTONE_S
+
+    def _queue(self, record):
+        rounds = max(1, len(self.table.members).bit_length()) * GOSSIP_ROUNDS_PER_BIT
+        self.gossip[record.node] = rounds
+
+    def _expire_suspects(self, now):
+        effects = []
+        for node, deadline in list(self.suspects.items()):
+            if now >= deadline:
+                effects += self.accuse(node, "suspicion_over", "suspicion over", now)
+        return effects
+
+    def _resume(self, now):
+        """Give every peer a new chance after this process was paused."""
+        for node in self.suspects:
+            self.suspects[node] = now + SUSPICION_S
+        detail = f"no tick for {now - self.last_tick:.1f} s"
+        return [Count("pauses_total"), StateChanged("process", "resumed", detail)]
+
+    def _forget_old(self, now):
+        for node, deadline in list(self.buried.items()):
+            if now >= deadline:
+                del self.buried[node]
+                self.gossip.pop(node, None)
+                self.table.forget(node)
+
+    def _repair(self, now):
+        for node, difference in list(self.differing.items()):
+            if now < difference.since + REPAIR_DELAY_S:
+                continue
+            del self.differing[node]
+            summary = difference.summary
+            hashes = BucketHashes(self.summarize(), list(self.table.hashes))
+            return [
+                Count("member_repairs_total"),
+                Send(summary.address, summary.region, hashes),
+            ]
+        return []
--- /dev/null
+++ b/packages/cyclamentally/cyclamentally/model.py
@@ -0,0 +1,212 @@
+"""Data that messages between nodes carry."""
+
+from cyclamentally.records import Record
+
+
+class Upstream(Record):
+    """An announced upstream.
+
+    Parameters
+    ----------
+    service : str
+        Service that the upstream serves.
+    profile : str
+        Profile that the service follows.
+    address : str
+        ``IP:port`` of its HTTP server.
+    slots : int
+        Requests that it executes at once.
+    connections : int
+        Connections that it accepts.
+    draining : bool
+        Whether it takes no new work.
+    """
+
+    __slots__ = ("service", "profile", "address", "slots", "connections", "draining")
+
+    def __init__(
+        self,
+        service: str,
+        profile: str,
+        address: str,
+        slots: int,
+        connections: int,
+        draining: bool,
+    ):
+        self.service = service
+        self.profile = profile
+        self.address = address
+        self.slots = slots
+        self.connections = connections
+        self.draining = draining
+
+
+class MemberRecord(Record):
+    """What the nodes know of one node.
+
+    Parameters
+    ----------
+    node : str
+        Identifier, unique in the fleet.
+    incarnation : int
+        Raised by the node itself at each change of its record.
+    status : str
+        ``alive``, ``suspect``, ``dead`` or ``left``.
+    domain : str
+        Failure domain.
+    region : str
+        Region of the failure domain.
+    address : str
+        Peer address, ``IP:port``.
+    upstreams : list of Upstream
+        Upstreams that run on its host.
+    """
+
+    __slots__ = (
+        "node",
+        "incarnation",
+        "status",
+        "domain",
+        "region",
+        "address",
+        "upstreams",
+    )
+
+    def __init__(
+        self,
+        node: str,
+        incarnation: int,
+        status: str,
+        domain: str,
+        region: str,
+        address: str,
+        upstreams: list[Upstream],
+    ):
+        self.node = node
+        self.incarnation = incarnation
+        self.status = status
+        self.domain = domain
+        self.region = region
+        self.address = address
+        self.upstreams = upstreams
+
+
+class Change(Record):
+    """One version of a profile on the wire.
+
+    Parameters
+    ----------
+    name : str
+        Profile.
+    version : int
+        Version of the profile.
+    base : int
+        Version that a delta applies to; 0 for a whole body.
+    deleted : bool
+        Whether the version is a tombstone.
+    writer : str
+        Operator that wrote the version.
+    operation : str
+        Identifier of the write.
+    body : bytes
+        Compressed delta or compressed whole body.
+    digest : int
+        Hash of the whole body.
+    """
+
+    __slots__ = (
+        "name",
+        "version",
+        "base",
+        "deleted",
+        "writer",
+        "operation",
+        "body",
+        "digest",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        version: int,
+        base: int,
+        deleted: bool,
+        writer: str,
+        operation: str,
+        body: bytes,
+        digest: int,
+    ):
+        self.name = name
+        self.version = version
+        self.base = base
+        self.deleted = deleted
+        self.writer = writer
+        self.operation = operation
+        self.body = body
+        self.digest = digest
+
+
+class RefusedVersion(Record):
+    """A profile version that a node has refused, with the reason."""
+
+    __slots__ = ("name", "version", "reason")
+
+    def __init__(self, name: str, version: int, reason: str):
+        self.name = name
+        self.version = version
+        self.reason = reason
+
+
+class DomainStatus(Record):
+    """How far the nodes of a failure domain have come.
+
+    Parameters
+    ----------
+    domain : str
+        Failure domain.
+    region : str
+        Its region.
+    live : int
+        Members alive.
+    current : int
+        Members whose versions equal the reporting relay's.
+    behind : list of str
+        Some members that differ.
+    refused : list of RefusedVersion
+        Versions that members refuse.
+    names : list of str
+        Profiles known to the relay.
+    versions : list of int
+        Installed version of each profile.
+    """
+
+    __slots__ = (
+        "domain",
+        "region",
+        "live",
+        "current",
+        "behind",
+        "refused",
+        "names",
+        "versions",
+    )
+
+    def __init__(
+        self,
+        domain: str,
+        region: str,
+        live: int,
+        current: int,
+        behind: list[str],
+        refused: list[RefusedVersion],
+        names: list[str],
+        versions: list[int],
+    ):
+        self.domain = domain
+        self.region = region
+        self.live = live
+        self.current = current
+        self.behind = behind
+        self.refused = refused
+        self.names = names
+        self.versions = versions
--- /dev/null
+++ b/packages/cyclamentally/cyclamentally/probes.py
@@ -0,0 +1,212 @@
+"""Failure detection: direct and indirect probes of members."""
+
+from cyclamentally.effects import Send
+from cyclamentally.members import DEAD, is_live
+from cyclamentally.messages import Ack, IndirectAck, Ping, PingRequest
+from cyclamentally.records import Record
+
+PROBE_PERIOD_S = 1.0
+PROBE_TIMEOUT_S = 0.4
+INDIRECT_PROBES = 3
+DEAD_PROBE_PERIOD_S = 5.0
+PAUSE_S = 2.0
+
+
+class Probe(Record):
+    """A probe without an answer so far.
+
+    Parameters
+    ----------
+    node : str
+        Target.
+    deadline : float
+        Time in seconds at which the next step is due.
+    indirect : bool
+        Whether other members have been asked to probe.
+    """
+
+    __slots__ = ("node", "deadline", "indirect")
+
+    def __init__(self, node, deadline, indirect):
+        self.node = node
+        self.deadline = deadline
+        self.indirect = indirect
+
+
+class Relayed(Record):
+    """A probe on behalf of another member."""
+
+    __slots__ = ("requester", "sequence", "deadline")
+
+    def __init__(self, requester, sequence, deadline):
+        self.requester = requester
+        self.sequence = sequence
+        self.deadline = deadline
+
+
+class Prober:
+    """Probe the members of the own failure domain, one after the other.
+
+    Parameters
+    ----------
+    membership : Membership
+        Receives accusations; gives the records that travel with probes.
+    summarize : callable
+        Returns the `Summary` of this node.
+    random : random.Random
+        Source of random numbers.
+    now : float
+        Time in seconds.
+    """
+
+    __slots__ = (
+        "last_tick",
+        "membership",
+        "next_dead_probe",
+        "next_probe",
+        "probes",
+        "random",
+        "relayed",
+        "rotation",
+        "sequence",
+        "summarize",
+        "table",
+    )
+
+    def __init__(self, membership, summarize, random, now):
+        self.membership = membership
+        self.table = membership.table
+        self.summarize = summarize
+        self.random = random
+        self.last_tick = now
+        self.next_probe = now + random.uniform(0, PROBE_PERIOD_S)
+        self.next_dead_probe = now + DEAD_PROBE_PERIOD_S
+        self.sequence = 0
+        self.rotation = []
+        self.probes = {}
+        self.relayed = {}
+
+    def tick(self, now):
+        """Run what is due.
+
+        After a pause of this process open probes prove nothing, so they are
+        dropped.
+        """
+        if now - self.last_tick > PAUSE_S:
+            self.probes.clear()
+            self.relayed.clear()
+        self.last_tick = now
+        effects = self._expire_probes(now)
+        if now >= self.next_probe:
+            self.next_probe = now + PROBE_PERIOD_S
+            effects += self._probe_next(now)
+        if now >= self.next_dead_probe:
+            self.next_dead_probe = now + DEAD_PROBE_PERIOD_S
+            effects += self._probe_dead()
+        return effects
+
+    def on_ping(self, ping, now):
+        """Answer a probe."""
+        effects = self.membership.apply(ping.updates, ping.sender, now)
+        sender = ping.sender
+        ack = Ack(
+            self.summarize(), ping.sequence, self.membership.gossip_for(sender.node)
+        )
+        return [*effects, Send(sender.address, sender.region, ack)]
+
+    def on_ack(self, ack, now):
+        """Match an acknowledgement with its probe."""
+        effects = self.membership.apply(ack.updates, ack.sender, now)
+        self.probes.pop(ack.sequence, None)
+        relayed = self.relayed.pop(ack.sequence, None)
+        if relayed is not None:
+            requester = relayed.requester
+            report = IndirectAck(self.summarize(), relayed.sequence)
+            effects.append(Send(requester.address, requester.region, report))
+        return effects
+
+    def on_ping_request(self, request, now):
+        """Probe a member on behalf of another."""
+        self.sequence += 1
+        deadline = now + PROBE_TIMEOUT_S
+        self.relayed[self.sequence] = Relayed(
+            request.sender, request.sequence, deadline
+        )
+        ping = Ping(
+            self.summarize(), self.sequence, self.membership.gossip_for(request.target)
+        )
+        region = self.table.own_record.region
+        return [Send(request.target_address, region, ping)]
+
+    def on_indirect_ack(self, ack, now):
+        """Match the report of an indirect probe."""
+        self.probes.pop(ack.sequence, None)
+        return []
+
+    def _probe_next(self, now):
+        while self.rotation:
+            node = self.rotation.pop()
+            record = self.table.get(node)
+            if record is not None and is_live(record):
+                return self._probe(record, now)
+        own = self.table.own_record
+        live = self.table.live(own.domain)
+        self.rotation = [record.node for record in live if record.node != own.node]
+        self.random.shuffle(self.rotation)
+        return []
+
+    def _probe(self, record, now):
+        self.sequence += 1
+        self.probes[self.sequence] = Probe(record.node, now + PROBE_TIMEOUT_S, False)
+        ping = Ping(
+            self.summarize(), self.sequence, self.membership.gossip_for(record.node)
+        )
+        return [Send(record.address, record.region, ping)]
+
+    def _probe_dead(self):
+        """Ping one dead member, so that a healed partition is noticed."""
+        own = self.table.own_record
+        dead = [
+            node
+            for node in self.membership.buried
+            if self.table.get(node).status == DEAD
+            and self.table.get(node).domain == own.domain
+        ]
+        if not dead:
+            return []
+        node = self.random.choice(dead)
+        self.sequence += 1
+        ping = Ping(self.summarize(), self.sequence, self.membership.gossip_for(node))
+        record = self.table.get(node)
+        return [Send(record.address, record.region, ping)]
+
+    def _expire_probes(self, now):
+        effects = []
+        for sequence, probe in list(self.probes.items()):
+            if now < probe.deadline:
+                continue
+            if probe.indirect:
+                del self.probes[sequence]
+                effects += self.membership.accuse(
+                    probe.node, "silence", "no answer", now
+                )
+            else:
+                effects += self._probe_indirectly(sequence, probe, now)
+        for sequence, relayed in list(self.relayed.items()):
+            if now >= relayed.deadline:
+                del self.relayed[sequence]
+        return effects
+
+    def _probe_indirectly(self, sequence, probe, now):
+        probe.indirect = True
+        probe.deadline = now + 2 * PROBE_TIMEOUT_S
+        own = self.table.own_record
+        target = self.table.get(probe.node)
+        others = [
+            record
+            for record in self.table.live(own.domain)
+            if record.node not in (own.node, probe.node)
+        ]
+        helpers = self.random.sample(others, min(INDIRECT_PROBES, len(others)))
+        request = PingRequest(self.summarize(), sequence, target.node, target.address)
+        return [Send(r.address, r.region, request) for r in helpers]
--- /dev/null
+++ b/packages/cyclamentally/cyclamentally/relays.py
@@ -0,0 +1,120 @@
+"""Relay duty: watch the platform, or follow a node that does."""
+
+from cyclamentally.chart import runs_chart
+from cyclamentally.effects import Count, Send, StateChanged, WatchPlatform
+from cyclamentally.messages import Beat, BeatAck
+
+BEAT_PERIOD_S = 1.0
+SILENCE_S = 3.0
+
+
+@runs_chart("relay")
+class Relay:
+    """Decide whether this node watches the platform; runs the chart ``relay``.
+
+    Parameters
+    ----------
+    membership : Membership
+        Source of the records that travel with beats.
+    topology : Topology
+        Roles.
+    summarize : callable
+        Returns the `Summary` of this node.
+    now : float
+        Time in seconds.
+    """
+
+    __slots__ = (
+        "deadline",
+        "generation",
+        "membership",
+        "next_beat",
+        "platform_ok",
+        "state",
+        "summarize",
+        "topology",
+    )
+
+    def __init__(self, membership, topology, summarize, now):
+        self.membership = membership
+        self.topology = topology
+        self.summarize = summarize
+        self.state = self.chart.initial
+        self.generation = -1
+        self.deadline = 0.0
+        self.next_beat = now
+        self.platform_ok = False
+
+    @property
+    def is_fresh(self):
+        """Whether new versions reach this node as soon as they exist."""
+        return self.state == "following" or self.platform_ok
+
+    def tick(self, now):
+        """Run what is due."""
+        effects = []
+        if self.generation != self.topology.table.generation:
+            self.generation = self.topology.table.generation
+            effects += self._fire("roles_changed", now)
+        if self.state == "following" and now >= self.deadline:
+            effects += self._fire("silence", now)
+        if now >= self.next_beat:
+            self.next_beat = now + BEAT_PERIOD_S
+            effects += self._beat()
+        return effects
+
+    def on_beat(self, beat, now):
+        """Answer a beat; a fresh one of the feeder ends the own watch."""
+        sender = beat.sender
+        effects = self.membership.apply(beat.updates, sender, now)
+        if beat.fresh and sender.node == self.topology.feeder():
+            effects += self._fire("fresh_beat", now)
+        ack = BeatAck(self.summarize(), self.membership.gossip_for(sender.node))
+        return [*effects, Send(sender.address, sender.region, ack)]
+
+    def on_platform_state(self, is_reachable):
+        """Note whether the watch on the platform works."""
+        if is_reachable == self.platform_ok:
+            return []
+        self.platform_ok = is_reachable
+        state = "reachable" if is_reachable else "unreachable"
+        return [Count("platform_changes_total", state), StateChanged("platform", state)]
+
+    def is_source(self, now):
+        """Whether this node watches the platform for the fleet."""
+        return self.topology.source() == self.topology.table.own
+
+    def is_relay(self, now):
+        """Whether this node is a relay of its failure domain."""
+        return self.topology.is_relay()
+
+    def await_beat(self, now):
+        """Set the time at which the feeder counts as silent."""
+        self.deadline = now + SILENCE_S
+
+    def start_watch(self, now):
+        """Begin to watch the platform."""
+        return [WatchPlatform(True)]
+
+    def stop_watch(self, now):
+        """End the watch on the platform."""
+        self.platform_ok = False
+        return [WatchPlatform(False)]
+
+    def _fire(self, event, now):
+        before = self.state
+        effects = self.chart.fire(self, event, now)
+        if self.state != before:
+            effects.append(Count("relay_changes_total", self.state))
+            effects.append(StateChanged("relay", self.state, event))
+        return effects
+
+    def _beat(self):
+        effects = []
+        for node in self.topology.followers():
+            record = self.topology.table.get(node)
+            beat = Beat(
+                self.summarize(), self.is_fresh, self.membership.gossip_for(node)
+            )
+            effects.append(Send(record.address, record.region, beat))
+        return effects
--- /dev/null
+++ b/packages/cyclamentally/cyclamentally/reports.py
@@ -0,0 +1,196 @@
+"""Reports of installed versions, and the status of failure domains."""
+
+from cyclamentally.effects import Send
+from cyclamentally.messages import Report, StatusReply, StatusRequest
+from cyclamentally.model import DomainStatus
+from cyclamentally.records import Record
+
+REPORT_DELAY_S = 0.1
+REPORT_JITTER_S = 0.2
+REPORT_PERIOD_S = 30.0
+COLLECT_TIMEOUT_S = 0.8
+MAX_NAMED_NODES = 10
+
+
+class Reporter:
+    """Tell the relays of the own domain what is installed here.
+
+    Parameters
+    ----------
+    versions : VersionTable
+        Versions of this node.
+    topology : Topology
+        Roles.
+    summarize : callable
+        Returns the `Summary` of this node.
+    random : random.Random
+        Source of random numbers.
+    now : float
+        Time in seconds.
+    """
+
+    __slots__ = (
+        "due",
+        "random",
+        "reported_hash",
+        "reported_to",
+        "summarize",
+        "topology",
+        "versions",
+    )
+
+    def __init__(self, versions, topology, summarize, random, now):
+        self.versions = versions
+        self.topology = topology
+        self.summarize = summarize
+        self.random = random
+        self.reported_hash = None
+        self.reported_to = []
+        self.due = now
+
+    def tick(self, now):
+        """Send a report if one is due."""
+        relays = self._relays()
+        if self._is_news(relays):
+            self.reported_hash = self.versions.hash
+            self.reported_to = relays
+            jitter = self.random.uniform(0, REPORT_JITTER_S)
+            self.due = min(self.due, now + REPORT_DELAY_S + jitter)
+        if now < self.due:
+            return []
+        self.due = now + REPORT_PERIOD_S
+        own = self.topology.table.own_record
+        report = Report(self.summarize(), own.domain, self.versions.refused())
+        effects = []
+        for node in relays:
+            if node != own.node:
+                record = self.topology.table.get(node)
+                effects.append(Send(record.address, record.region, report))
+        return effects
+
+    def _relays(self):
+        return self.topology.relays(self.topology.table.own_record.domain)
+
+    def _is_news(self, relays):
+        return self.versions.hash != self.reported_hash or relays != self.reported_to
+
+
+class Progress(Record):
+    """Versions hash of a member and the versions that it refuses."""
+
+    __slots__ = ("versions", "refused")
+
+    def __init__(self, versions, refused):
+        self.versions = versions
+        self.refused = refused
+
+
+class StatusBoard:
+    """Keep the reports of the own domain and collect those of all domains.
+
+    Parameters
+    ----------
+    versions : VersionTable
+        Versions of this node.
+    topology : Topology
+        Roles.
+    summarize : callable
+        Returns the `Summary` of this node.
+    """
+
+    __slots__ = (
+        "deadline",
+        "progress",
+        "replies",
+        "summarize",
+        "topology",
+        "versions",
+    )
+
+    def __init__(self, versions, topology, summarize):
+        self.versions = versions
+        self.topology = topology
+        self.summarize = summarize
+        self.progress = {}
+        self.replies = {}
+        self.deadline = None
+
+    def on_report(self, report):
+        """Note the progress of a member."""
+        sender = report.sender
+        self.progress[sender.node] = Progress(sender.versions, report.refused)
+
+    def on_request(self, request):
+        """Answer with the status of the own domain."""
+        reply = StatusReply(self.summarize(), self.own_status())
+        return [Send(request.sender.address, request.sender.region, reply)]
+
+    def on_reply(self, reply):
+        """Keep the status of a domain; the one with more current nodes wins."""
+        status = reply.status
+        known = self.replies.get(status.domain)
+        if known is None or known.current <= status.current:
+            self.replies[status.domain] = status
+
+    def collect(self, now):
+        """Ask the relays of every domain for its status."""
+        self.replies.clear()
+        self.deadline = now + COLLECT_TIMEOUT_S
+        own = self.topology.table.own_record
+        effects = []
+        for domain in self.topology.table.domains():
+            for node in self.topology.relays(domain):
+                if node == own.node:
+                    self.replies[domain] = self.own_status()
+                    continue
+                record = self.topology.table.get(node)
+                request = StatusRequest(self.summarize())
+                effects.append(Send(record.address, record.region, request))
+        return effects
+
+    def is_complete(self, now):
+        """Whether every domain has answered or the time is over."""
+        if self.deadline is None or now >= self.deadline:
+            return True
+        return self.replies.keys() >= self.topology.table.domains().keys()
+
+    def collected(self):
+        """Return the statuses; a silent domain has no current nodes."""
+        statuses = []
+        for domain, region in self.topology.table.domains().items():
+            live = len(self.topology.table.live(domain))
+            silent = DomainStatus(domain, region, live, 0, [], [], [], [])
+            statuses.append(self.replies.get(domain, silent))
+        return statuses
+
+    def own_status(self):
+        """Return the status of the own domain."""
+        own = self.topology.table.own_record
+        nodes = [record.node for record in self.topology.table.live(own.domain)]
+        self._forget(nodes)
+        refused = self.versions.refused()
+        behind = []
+        for node in nodes:
+            progress = self.progress.get(node)
+            if node == own.node:
+                continue
+            if progress is None or progress.versions != self.versions.hash:
+                behind.append(node)
+            else:
+                refused.extend(progress.refused)
+        slots = self.versions.slots
+        installed = {n: s.installed.version for n, s in slots.items() if s.installed}
+        return DomainStatus(
+            own.domain,
+            own.region,
+            len(nodes),
+            len(nodes) - len(behind),
+            sorted(behind)[:MAX_NAMED_NODES],
+            refused[:MAX_NAMED_NODES],
+            list(installed),
+            list(installed.values()),
+        )
+
+    def _forget(self, nodes):
+        for node in self.progress.keys() - set(nodes):
+            del self.progress[node]
--- /dev/null
+++ b/packages/cyclamentally/cyclamentally/retries.py
@@ -0,0 +1,141 @@
+"""One request over its attempts: what may be repeated, and what is answered."""
+
+from cyclamentally.admission import Call
+from cyclamentally.chart import runs_chart
+from cyclamentally.effects import Count
+from cyclamentally.errors import ANSWERS, Kind, Ran, Refused
+from cyclamentally.records import Record
+
+
+class Failure(Record):
+    """A failed attempt.
+
+    Parameters
+    ----------
+    refusal : Refused
+        Reason; its kind states whether the request ran.
+    now : float
+        Time in seconds.
+    is_final : bool
+        Whether a node further on has already retried.
+    """
+
+    __slots__ = ("refusal", "now", "is_final")
+
+    def __init__(self, refusal, now, is_final=False):
+        self.refusal = refusal
+        self.now = now
+        self.is_final = is_final
+
+
+@runs_chart("request")
+class RequestLife:
+    """Decide on the attempts of one request; runs the chart ``request``.
+
+    Parameters
+    ----------
+    number : int
+        Identifies the request on this node.
+    route : Route
+        Where it goes.
+    policy : ServicePolicy
+        Limits of the service.
+    is_idempotent : bool
+        Whether it may run more than once.
+    deadline : float
+        Time in seconds after which the answer is of no use.
+    """
+
+    __slots__ = (
+        "attempts",
+        "avoid",
+        "deadline",
+        "is_idempotent",
+        "location",
+        "number",
+        "policy",
+        "refusal",
+        "route",
+        "state",
+    )
+
+    def __init__(self, number, route, policy, is_idempotent, deadline):
+        self.number = number
+        self.route = route
+        self.policy = policy
+        self.is_idempotent = is_idempotent
+        self.deadline = deadline
+        self.state = self.chart.initial
+        self.attempts = 0
+        self.avoid = []
+        self.location = None
+        self.refusal = None
+
+    def call(self):
+        """Return the request for a slot."""
+        return Call(
+            self.number,
+            self.route.service,
+            self.route.call_class,
+            self.deadline,
+            self.attempts + 1,
+            self.avoid,
+        )
+
+    def grant(self, location):
+        """Note the upstream that the attempt goes to."""
+        return self.chart.fire(self, "granted", location)
+
+    def deny(self, refusal, now):
+        """Note that there is no slot."""
+        return self.chart.fire(self, "denied", Failure(refusal, now))
+
+    def answer(self):
+        """Note a whole answer."""
+        return self.chart.fire(self, "answer")
+
+    def fail(self, failure):
+        """Note a failed attempt."""
+        ran = ANSWERS[failure.refusal.kind].ran
+        event = "not_run" if ran == Ran.NO else "unknown"
+        return self.chart.fire(self, event, failure)
+
+    def may_retry(self, failure):
+        """Whether an attempt that did not run may be followed by another."""
+        if failure.is_final or failure.now >= self.deadline:
+            return False
+        return self.attempts < self.policy.max_attempts
+
+    def may_repeat(self, failure):
+        """Whether an attempt that may have run may be followed by another."""
+        return self.is_idempotent and self.may_retry(failure)
+
+    def begin_attempt(self, location):
+        """Count the attempt."""
+        self.attempts += 1
+        self.location = location
+
+    def plan_retry(self, failure):
+        """Keep the reason and avoid the upstream that failed."""
+        self.refusal = failure.refusal
+        self.avoid.append(self.location.upstream.address)
+        return [Count("retries_total", failure.refusal.kind)]
+
+    def refuse(self, failure):
+        """Choose the reason that the caller is given.
+
+        A retry without a slot is answered by what went wrong before, since
+        only that tells whether the request ran.
+        """
+        if self.refusal is None or self._tells_more(failure.refusal):
+            self.refusal = failure.refusal
+        return [Count("requests_refused_total", self.refusal.kind)]
+
+    def _tells_more(self, refusal):
+        unknown = ANSWERS[self.refusal.kind].ran == Ran.UNKNOWN
+        return not unknown or ANSWERS[refusal.kind].ran == Ran.UNKNOWN
+
+
+def no_route(path):
+    """Return the refusal of a path without a route."""
+    return Refused(Kind.NO_ROUTE, f"no route for {path[:100]}")
--- /dev/null
+++ b/packages/cyclamentally/cyclamentally/topology.py
@@ -0,0 +1,118 @@
+"""Who fetches, who follows whom, and the push tree of a failure domain."""
+
+from cyclamentally.hashing import rank_by_rendezvous
+
+RELAYS_PER_DOMAIN = 2
+TREE_FANOUT = 8
+
+
+class Topology:
+    """Roles that follow from the live members; no lock and no lease.
+
+    Two nodes with different views may both take a role for a while. That
+    costs bytes and never correctness, because versions only grow.
+
+    Parameters
+    ----------
+    table : MemberTable
+        Members.
+    home_region : str
+        Region of the platform.
+    """
+
+    __slots__ = ("cache", "generation", "home_region", "table")
+
+    def __init__(self, table, home_region):
+        self.table = table
+        self.home_region = home_region
+        self.cache = {}
+        self.generation = -1
+
+    def relays(self, domain):
+        """Return the relays of a failure domain, best first."""
+        return self._cached(("relays", domain), self._find_relays)
+
+    def lead(self, region):
+        """Return the relay that fetches for a region, or None."""
+        return self._cached(("lead", region), self._find_lead)
+
+    def source(self):
+        """Return the node that watches the platform for the whole fleet."""
+        home = self.lead(self.home_region)
+        if home is not None:
+            return home
+        regions = sorted(set(self.table.domains().values()))
+        leads = [lead for region in regions if (lead := self.lead(region))]
+        return leads[0] if leads else None
+
+    def feeder(self):
+        """Return the node that this node follows, or None.
+
+        None for the source itself and for nodes that are no relays.
+        """
+        own = self.table.own_record
+        if own.node not in self.relays(own.domain) or own.node == self.source():
+            return None
+        lead = self.lead(own.region)
+        return self.source() if lead == own.node else lead
+
+    def followers(self):
+        """Return the nodes that follow this node."""
+        own = self.table.own_record
+        nodes = []
+        if self.lead(own.region) == own.node:
+            nodes.extend(self._region_relays(own.region))
+        if self.source() == own.node:
+            nodes.extend(self._other_leads(own.region))
+        return [node for node in dict.fromkeys(nodes) if node != own.node]
+
+    def is_relay(self):
+        """Return whether this node is a relay of its failure domain."""
+        own = self.table.own_record
+        return own.node in self.relays(own.domain)
+
+    def children(self, root):
+        """Return the nodes to which this node forwards in the tree of a root."""
+        own = self.table.own_record
+        order = self._cached(("tree", root), self._order_tree)
+        try:
+            position = order.index(own.node)
+        except ValueError:
+            return []
+        first = position * TREE_FANOUT + 1
+        return order[first : first + TREE_FANOUT]
+
+    def _cached(self, key, find):
+        if self.generation != self.table.generation:
+            self.cache.clear()
+            self.generation = self.table.generation
+        if key not in self.cache:
+            self.cache[key] = find(key[1])
+        return self.cache[key]
+
+    def _find_relays(self, domain):
+        nodes = [record.node for record in self.table.live(domain)]
+        return rank_by_rendezvous("relay", nodes)[:RELAYS_PER_DOMAIN]
+
+    def _region_relays(self, region):
+        domains = self.table.domains()
+        return [
+            node
+            for domain in sorted(domains)
+            if domains[domain] == region
+            for node in self.relays(domain)
+        ]
+
+    def _find_lead(self, region):
+        ranked = rank_by_rendezvous("lead", self._region_relays(region))
+        return ranked[0] if ranked else None
+
+    def _other_leads(self, region):
+        regions = sorted(set(self.table.domains().values()) - {region})
+        return [lead for other in regions if (lead := self.lead(other))]
+
+    def _order_tree(self, root):
+        own = self.table.own_record
+        nodes = [record.node for record in self.table.live(own.domain)]
+        ranked = rank_by_rendezvous(root, nodes)
+        return [root, *(node for node in ranked if node != root)]
