--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 PYTHON := python3.11
-PACKAGES := cyclamentally cyclamentally-node cyclamentally-cli cyclamentally-testing
+PACKAGES := cyclamentally cyclamentally-platform cyclamentally-node cyclamentally-cli cyclamentally-testing
 
 .PHONY: install test lint demo clean
 
--- /dev/null
+++ b/packages/cyclamentally-cli/cyclamentally_cli/__init__.py
@@ -0,0 +1,3 @@
+"""The command line tool for operators."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/packages/cyclamentally-cli/cyclamentally_cli/main.py
@@ -0,0 +1,72 @@
+"""Entry point of the operators' tool."""
+
+import sys
+
+from cyclopts import App
+from msgspec.json import encode
+
+from cyclamentally.errors import Refused
+from cyclamentally_cli import __version__
+from cyclamentally_cli.node_client import NodeClient
+from cyclamentally_cli.profile_commands import (
+    Json,
+    SettingsPath,
+    fail,
+    profile_app,
+)
+from cyclamentally_cli.settings import read_operator_settings
+
+app = App(
+    name="cyclamentally",
+    help="Write profiles and see how far they have come.",
+    version=__version__,
+)
+app.command(profile_app)
+
+
+@app.command
+def status(*, json: Json = False, settings: SettingsPath = "") -> int:
+    """Show for each failure domain how many nodes run the newest versions."""
+    outcome = read_operator_settings(settings)
+    if isinstance(outcome, Refused):
+        return fail(outcome)
+    client = NodeClient(outcome.value.nodes_admin)
+    views = client.status()
+    client.close()
+    if isinstance(views, Refused):
+        return fail(views)
+    if json:
+        print(encode([_as_table(view) for view in views.value]).decode())
+        return 0
+    for view in views.value:
+        _print_domain(view)
+    return 0
+
+
+def _print_domain(view):
+    state = "current" if view.current == view.live else "behind"
+    if not view.versions and view.current == 0:
+        state = "no answer"
+    print(
+        f"{view.domain:20} {view.region:12} "
+        f"{view.current:5} of {view.live:5} nodes current  {state}"
+    )
+    for name, version in sorted(view.versions.items()):
+        print(f"    {name} version {version}")
+    if view.behind:
+        print(f"    behind: {', '.join(view.behind)}")
+    for entry in view.refused:
+        print(f"    refused: {entry['name']} {entry['version']}: {entry['reason']}")
+
+
+def _as_table(view):
+    return {name: getattr(view, name) for name in view.__slots__}
+
+
+def main():
+    """Parse the command line."""
+    sys.exit(app())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/cyclamentally-cli/cyclamentally_cli/waiting.py
@@ -0,0 +1,76 @@
+"""Follow a change until it is in force everywhere."""
+
+from threading import Event
+from time import monotonic
+
+from cyclamentally.errors import Done, Kind, Refused
+
+POLL_S = 0.2
+
+
+class ForceWaiter:
+    """Ask for the status until all nodes run a version.
+
+    Parameters
+    ----------
+    client : NodeClient
+        Source of the status.
+    report : callable
+        Takes the number of nodes in force and the number of live nodes.
+    """
+
+    __slots__ = ("client", "pause", "report")
+
+    def __init__(self, client, report):
+        self.client = client
+        self.report = report
+        self.pause = Event()
+
+    def wait(self, version, timeout):
+        """Wait for a `ProfileVersion`.
+
+        Parameters
+        ----------
+        version : ProfileVersion
+            What is to be in force.
+        timeout : float
+            Longest wait in seconds.
+
+        Returns
+        -------
+        Done or Refused
+            ``Done`` holds the seconds waited.
+        """
+        started = monotonic()
+        detail = "no status"
+        while monotonic() - started < timeout:
+            status = self.client.status()
+            if isinstance(status, Done):
+                missing = self._missing(status.value, version)
+                if not missing:
+                    return Done(monotonic() - started)
+                detail = f"not in force in {', '.join(missing)}"
+            else:
+                detail = status.detail
+            self.pause.wait(POLL_S)
+        return Refused(Kind.NOT_IN_FORCE, f"{version.name} {version.version}: {detail}")
+
+    def _missing(self, views, version):
+        missing = []
+        in_force = 0
+        for view in views:
+            refusing = _is_refused(view, version)
+            has_version = view.versions.get(version.name, 0) >= version.version
+            if has_version and not refusing:
+                in_force += view.current
+            if not has_version or refusing or view.current < view.live:
+                missing.append(view.domain)
+        self.report(in_force, sum(view.live for view in views))
+        return missing
+
+
+def _is_refused(view, version):
+    return any(
+        entry["name"] == version.name and entry["version"] >= version.version
+        for entry in view.refused
+    )
--- /dev/null
+++ b/packages/cyclamentally-node/cyclamentally_node/admin.py
@@ -0,0 +1,127 @@
+"""The front end for operators, metrics and announcements of upstreams."""
+
+from msgspec import MsgspecError
+from msgspec.json import decode, encode
+from pykka import ThreadingFuture, Timeout
+
+from cyclamentally.errors import Done, Kind, Refused
+from cyclamentally.model import Upstream
+from cyclamentally.records import Record
+from cyclamentally_node.events import (
+    Announce,
+    CollectStatus,
+    DescribeNode,
+    RenderMetrics,
+    Withdraw,
+)
+from cyclamentally_node.exchange import UpstreamAnswer, refusal_answer
+from cyclamentally_node.settings import is_address
+
+MAX_BODY_BYTES = 10_000
+STATUS_TIMEOUT_S = 3.0
+UPSTREAM_PATH = "/upstreams/"
+
+
+class Admin:
+    """Answer requests of operators and upstreams.
+
+    Parameters
+    ----------
+    control, meters : pykka.ActorRef
+        Tasks that own the answers.
+    """
+
+    __slots__ = ("control", "meters")
+
+    def __init__(self, control, meters):
+        self.control = control
+        self.meters = meters
+
+    def __call__(self, environ, start_response):
+        """Answer a WSGI request."""
+        answer = self.answer(environ)
+        start_response(answer.status, answer.headers)
+        return answer.body
+
+    def answer(self, environ):
+        """Return the `UpstreamAnswer` for a WSGI environment."""
+        method = environ["REQUEST_METHOD"]
+        path = environ["PATH_INFO"]
+        if path.startswith(UPSTREAM_PATH) and method in ("PUT", "DELETE"):
+            return self._upstream(environ, method, path.removeprefix(UPSTREAM_PATH))
+        if method != "GET":
+            return refusal_answer(Refused(Kind.BAD_REQUEST, f"{method} {path}"))
+        if path == "/metrics":
+            return self._metrics(environ)
+        if path == "/status":
+            return self._status()
+        if path == "/node":
+            return _json_answer(self.control.ask(DescribeNode()))
+        return refusal_answer(Refused(Kind.NO_ROUTE, path))
+
+    def _metrics(self, environ):
+        accepts = [environ.get("HTTP_ACCEPT", "text/plain")]
+        body, headers = self.meters.ask(RenderMetrics(accepts))
+        pairs = [(str(name), str(value)) for name, value in headers.items()]
+        pairs.append(("Content-Length", str(len(body))))
+        return UpstreamAnswer("200 OK", pairs, [body])
+
+    def _status(self):
+        future = ThreadingFuture()
+        self.control.tell(CollectStatus(future))
+        try:
+            return _json_answer(future.get(timeout=STATUS_TIMEOUT_S))
+        except Timeout:
+            return refusal_answer(Refused(Kind.NOT_READY, "no status in time"))
+
+    def _upstream(self, environ, method, address):
+        if not is_address(address):
+            detail = f"{address[:80]!r} is not IP:port"
+            return refusal_answer(Refused(Kind.BAD_REQUEST, detail))
+        if method == "DELETE":
+            self.control.ask(Withdraw(address))
+            return _json_answer({})
+        upstream = _read_upstream(address, environ)
+        if isinstance(upstream, Refused):
+            return refusal_answer(upstream)
+        outcome = self.control.ask(Announce(upstream.value))
+        if isinstance(outcome, Refused):
+            return refusal_answer(outcome)
+        return _json_answer({})
+
+
+def _read_upstream(address, environ):
+    body = environ["wsgi.input"].read(MAX_BODY_BYTES + 1)
+    if len(body) > MAX_BODY_BYTES:
+        return Refused(Kind.BODY_TOO_LARGE, f"over {MAX_BODY_BYTES} bytes")
+    fields = {
+        "service": str,
+        "profile": str,
+        "slots": int,
+        "connections": int,
+        "draining": bool,
+    }
+    try:
+        document = decode(body, type=dict)
+        values = {key: document.get(key, False) for key in fields}
+    except MsgspecError as error:
+        return Refused(Kind.BAD_REQUEST, str(error)[:200])
+    for key, kind in fields.items():
+        if type(values[key]) is not kind:
+            return Refused(Kind.BAD_REQUEST, f"{key}: {values[key]!r:.80}")
+    return Done(Upstream(address=address, **values))
+
+
+def _json_answer(document):
+    body = encode(document, enc_hook=_as_table)
+    headers = [
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(body))),
+    ]
+    return UpstreamAnswer("200 OK", headers, [body])
+
+
+def _as_table(value):
+    if isinstance(value, Record):
+        return {name: getattr(value, name) for name in value.__slots__}
+    raise TypeError(f"cannot encode {type(value).__name__}")
--- /dev/null
+++ b/packages/cyclamentally-node/cyclamentally_node/control_task.py
@@ -0,0 +1,185 @@
+"""The task that owns the control decisions of the node."""
+
+from absl.logging import get_absl_logger
+from pykka import ThreadingActor
+
+from cyclamentally.effects import (
+    ConfigurationChanged,
+    Count,
+    Send,
+    StateChanged,
+    WatchPlatform,
+)
+from cyclamentally.errors import Done
+from cyclamentally_node.events import (
+    Announce,
+    CollectStatus,
+    Counted,
+    DescribeNode,
+    NodeDescription,
+    PeerReceived,
+    PeerSend,
+    PlatformState,
+    PlatformVersions,
+    PublishSeed,
+    SeedsFound,
+    SetWatch,
+    SnapshotReplaced,
+    StopNode,
+    Tick,
+    Withdraw,
+)
+
+logger = get_absl_logger()
+
+
+class ControlTask(ThreadingActor):
+    """Feed the control decisions and carry out their effects.
+
+    Parameters
+    ----------
+    plane : ControlPlane
+        Decisions, owned by this task.
+    announcements : Announcements
+        Upstreams on this host, owned by this task.
+    clock : callable
+        Returns the time in seconds.
+    sender, platform, meters : pykka.ActorRef
+        Tasks that carry out effects.
+    admissions : list of pykka.ActorRef
+        Tasks that take each new snapshot.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(
+        self, plane, announcements, clock, sender, platform, meters, admissions
+    ):
+        super().__init__()
+        self.plane = plane
+        self.announcements = announcements
+        self.clock = clock
+        self.sender = sender
+        self.platform = platform
+        self.meters = meters
+        self.admissions = admissions
+        self.waiting = []
+        self.seed_slot = None
+        self.handlers = {
+            Tick: self._tick,
+            PeerReceived: self._receive,
+            PlatformVersions: self._install,
+            PlatformState: self._note_platform,
+            SeedsFound: self._add_seeds,
+            Announce: self._announce,
+            Withdraw: self._withdraw,
+            CollectStatus: self._collect,
+            DescribeNode: self._describe,
+            StopNode: self._stop_node,
+        }
+
+    def on_receive(self, message):
+        """Handle the messages named in the table of handlers."""
+        return self.handlers[type(message)](message)
+
+    def _tick(self, tick):
+        now = self.clock()
+        lapsed = self.announcements.tick(now)
+        if lapsed:
+            self._publish_upstreams(lapsed)
+        self._carry_out(self.plane.tick(now))
+        self._answer_status(now)
+        self._publish_seed()
+
+    def _receive(self, received):
+        now = self.clock()
+        self._carry_out(self.plane.receive(received.message, now))
+        self._answer_status(now)
+
+    def _install(self, message):
+        effects = self.plane.on_platform_versions(
+            message.versions, message.is_complete, self.clock()
+        )
+        self._carry_out(effects)
+
+    def _note_platform(self, message):
+        self._carry_out(self.plane.on_platform_state(message.is_reachable))
+
+    def _add_seeds(self, message):
+        self.plane.life.add_seeds(message.addresses)
+
+    def _announce(self, message):
+        before = self.announcements.upstreams()
+        outcome = self.announcements.announce(message.upstream, self.clock())
+        if isinstance(outcome, Done) and self.announcements.upstreams() != before:
+            self._publish_upstreams(outcome.value)
+        return outcome
+
+    def _withdraw(self, message):
+        effects = self.announcements.withdraw(message.address)
+        if effects:
+            self._publish_upstreams(effects)
+
+    def _publish_upstreams(self, effects):
+        upstreams = self.announcements.upstreams()
+        self._carry_out([*effects, *self.plane.announce(upstreams)])
+
+    def _collect(self, message):
+        now = self.clock()
+        if not self.waiting:
+            self._carry_out(self.plane.board.collect(now))
+        self.waiting.append(message.future)
+        self._answer_status(now)
+
+    def _answer_status(self, now):
+        if not self.waiting or not self.plane.board.is_complete(now):
+            return
+        statuses = self.plane.board.collected()
+        for future in self.waiting:
+            future.set(statuses)
+        self.waiting.clear()
+
+    def _describe(self, message):
+        plane = self.plane
+        slots = plane.versions.slots.values()
+        versions = {s.name: s.installed.version for s in slots if s.installed}
+        live = {
+            domain: len(plane.table.live(domain)) for domain in plane.table.domains()
+        }
+        return NodeDescription(
+            plane.identity.node,
+            plane.life.state,
+            plane.relay.state,
+            plane.snapshot.generation,
+            versions,
+            plane.versions.refused(),
+            live,
+        )
+
+    def _stop_node(self, message):
+        self._carry_out(self.plane.stop())
+
+    def _publish_seed(self):
+        """Store this node's address while it is a relay of its domain."""
+        own = self.plane.table.own_record
+        relays = self.plane.topology.relays(own.domain)
+        slot = relays.index(own.node) if own.node in relays else None
+        if slot is not None and slot != self.seed_slot:
+            self.platform.tell(PublishSeed(slot))
+        self.seed_slot = slot
+
+    def _carry_out(self, effects):
+        sends = [effect for effect in effects if isinstance(effect, Send)]
+        counts = [effect for effect in effects if isinstance(effect, Count)]
+        if sends:
+            self.sender.tell(PeerSend(sends))
+        if counts:
+            self.meters.tell(Counted(counts))
+        for effect in effects:
+            if isinstance(effect, StateChanged):
+                logger.info("%s: %s: %s", effect.subject, effect.state, effect.detail)
+            elif isinstance(effect, WatchPlatform):
+                self.platform.tell(SetWatch(effect.active))
+            elif isinstance(effect, ConfigurationChanged):
+                for task in self.admissions:
+                    task.tell(SnapshotReplaced(self.plane.snapshot))
--- /dev/null
+++ b/packages/cyclamentally-node/cyclamentally_node/daemon.py
@@ -0,0 +1,54 @@
+"""The long-running process; it does not import the command line library."""
+
+import sys
+from signal import SIGINT, SIGTERM, signal
+from threading import Event
+
+from absl.logging import get_absl_logger
+
+from cyclamentally.errors import Refused
+from cyclamentally_node.logs import start_logs
+from cyclamentally_node.node import Node
+from cyclamentally_node.settings import read_settings
+
+logger = get_absl_logger()
+
+RECHECK_S = 3_600.0
+
+
+def run(path, make_node=Node):
+    """Run a node until SIGTERM or SIGINT.
+
+    Parameters
+    ----------
+    path : str
+        Settings file.
+    make_node : callable
+        Builds the node from the settings.
+
+    Returns
+    -------
+    int
+        Exit code.
+    """
+    settings = read_settings(path)
+    if isinstance(settings, Refused):
+        print(settings.detail, file=sys.stderr)
+        return settings.answer.exit_code
+    settings = settings.value
+    start_logs(settings.node_name, settings.log_level)
+    stop = Event()
+    for number in (SIGTERM, SIGINT):
+        signal(number, lambda *_: stop.set())
+    node = make_node(settings)
+    node.start()
+    logger.info("node: started: %s", settings.listen_peers)
+    while not stop.wait(RECHECK_S):
+        pass
+    node.close()
+    logger.info("node: stopped: signal")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(run(sys.argv[1]))
--- /dev/null
+++ b/packages/cyclamentally-node/cyclamentally_node/events.py
@@ -0,0 +1,223 @@
+"""Messages between the tasks of one node."""
+
+from cyclamentally.records import Record
+
+
+class Tick(Record):
+    """Time has passed."""
+
+    __slots__ = ()
+
+
+class PeerReceived(Record):
+    """A message of another node has arrived; ``size`` in bytes."""
+
+    __slots__ = ("message", "size")
+
+    def __init__(self, message, size):
+        self.message = message
+        self.size = size
+
+
+class PeerSend(Record):
+    """Messages are to be sent to other nodes.
+
+    Parameters
+    ----------
+    sends : list of Send
+        Effects of the decisions.
+    """
+
+    __slots__ = ("sends",)
+
+    def __init__(self, sends):
+        self.sends = sends
+
+
+class Receive(Record):
+    """Wait for the next message on the peer socket."""
+
+    __slots__ = ()
+
+
+class Counted(Record):
+    """Effects of kind `Count` for the metrics."""
+
+    __slots__ = ("counts",)
+
+    def __init__(self, counts):
+        self.counts = counts
+
+
+class RenderMetrics(Record):
+    """Render the metrics for ``accepts``, a list of header values."""
+
+    __slots__ = ("accepts",)
+
+    def __init__(self, accepts):
+        self.accepts = accepts
+
+
+class Attach(Record):
+    """Name the control task, which is started later than the receiver."""
+
+    __slots__ = ("control",)
+
+    def __init__(self, control):
+        self.control = control
+
+
+class SetWatch(Record):
+    """Start or stop the watch on the platform."""
+
+    __slots__ = ("active",)
+
+    def __init__(self, active):
+        self.active = active
+
+
+class Poll(Record):
+    """Make the next call of the platform watch."""
+
+    __slots__ = ()
+
+
+class ReadSeeds(Record):
+    """Read the seed addresses, again and again until it works."""
+
+    __slots__ = ()
+
+
+class PublishSeed(Record):
+    """Store the peer address of a relay for nodes that start later."""
+
+    __slots__ = ("slot",)
+
+    def __init__(self, slot):
+        self.slot = slot
+
+
+class SeedsFound(Record):
+    """Peer addresses read from the platform."""
+
+    __slots__ = ("addresses",)
+
+    def __init__(self, addresses):
+        self.addresses = addresses
+
+
+class PlatformVersions(Record):
+    """Profile versions read from the platform."""
+
+    __slots__ = ("versions", "is_complete")
+
+    def __init__(self, versions, is_complete):
+        self.versions = versions
+        self.is_complete = is_complete
+
+
+class PlatformState(Record):
+    """Whether the watch on the platform works."""
+
+    __slots__ = ("is_reachable",)
+
+    def __init__(self, is_reachable):
+        self.is_reachable = is_reachable
+
+
+class Announce(Record):
+    """An upstream announces itself; answered by ``Done`` or ``Refused``."""
+
+    __slots__ = ("upstream",)
+
+    def __init__(self, upstream):
+        self.upstream = upstream
+
+
+class Withdraw(Record):
+    """An upstream takes its announcement back."""
+
+    __slots__ = ("address",)
+
+    def __init__(self, address):
+        self.address = address
+
+
+class CollectStatus(Record):
+    """Collect the status of all domains into ``future``."""
+
+    __slots__ = ("future",)
+
+    def __init__(self, future):
+        self.future = future
+
+
+class DescribeNode(Record):
+    """Return the `NodeDescription` of this node."""
+
+    __slots__ = ()
+
+
+class NodeDescription(Record):
+    """What a node says of itself and of the members it knows."""
+
+    __slots__ = ("node", "state", "relay", "generation", "versions", "refused", "live")
+
+    def __init__(self, node, state, relay, generation, versions, refused, live):
+        self.node = node
+        self.state = state
+        self.relay = relay
+        self.generation = generation
+        self.versions = versions
+        self.refused = refused
+        self.live = live
+
+
+class StopNode(Record):
+    """Leave the members and refuse new requests."""
+
+    __slots__ = ()
+
+
+class SnapshotReplaced(Record):
+    """A new snapshot is in force."""
+
+    __slots__ = ("snapshot",)
+
+    def __init__(self, snapshot):
+        self.snapshot = snapshot
+
+
+class Admit(Record):
+    """A request asks for a slot; ``future`` gets `Granted` or `Denied`."""
+
+    __slots__ = ("call", "future")
+
+    def __init__(self, call, future):
+        self.call = call
+        self.future = future
+
+
+class Finish(Record):
+    """A request returns its slot; ``outcome`` is a kind or None."""
+
+    __slots__ = ("number", "outcome")
+
+    def __init__(self, number, outcome):
+        self.number = number
+        self.outcome = outcome
+
+
+class Abandon(Record):
+    """A queued request is given up; a slot granted meanwhile is returned."""
+
+    __slots__ = ("number",)
+
+    def __init__(self, number):
+        self.number = number
+
+
+class CountInFlight(Record):
+    """Return the number of requests that hold or await a slot."""
+
+    __slots__ = ()
--- /dev/null
+++ b/packages/cyclamentally-node/cyclamentally_node/logs.py
@@ -0,0 +1,43 @@
+"""Log lines as JSON objects."""
+
+from logging import DEBUG, INFO, WARNING, Formatter
+
+from absl.logging import get_absl_handler, get_absl_logger, use_absl_handler
+from msgspec.json import encode
+
+LEVELS = {"debug": DEBUG, "info": INFO, "warning": WARNING}
+
+
+class JsonFormatter(Formatter):
+    """Format a record as one JSON object in one line.
+
+    Parameters
+    ----------
+    node : str
+        Name of the node, part of every line.
+    """
+
+    __slots__ = ("node",)
+
+    def __init__(self, node):
+        super().__init__()
+        self.node = node
+
+    def format(self, record):
+        """Return the line of a log record."""
+        line = {
+            "time": self.formatTime(record),
+            "level": record.levelname.lower(),
+            "node": self.node,
+            "message": record.getMessage(),
+        }
+        if record.exc_info:
+            line["error"] = self.formatException(record.exc_info)
+        return encode(line).decode()
+
+
+def start_logs(node, level):
+    """Send log lines of a level and above to standard error as JSON."""
+    use_absl_handler()
+    get_absl_handler().setFormatter(JsonFormatter(node))
+    get_absl_logger().setLevel(LEVELS[level])
--- /dev/null
+++ b/packages/cyclamentally-node/cyclamentally_node/meters.py
@@ -0,0 +1,52 @@
+"""The task that owns the metrics."""
+
+from aioprometheus import Counter, Registry, render
+from pykka import ThreadingActor
+
+from cyclamentally_node.events import Counted, RenderMetrics
+
+PREFIX = "cyclamentally_"
+LABELS = {
+    "requests_refused_total": "reason",
+    "retries_total": "reason",
+    "messages_refused_total": "reason",
+    "transfers_refused_total": "reason",
+    "versions_refused_total": "reason",
+    "peer_bytes_sent_total": "regions",
+    "peer_bytes_received_total": "regions",
+    "requests_answered_total": "class",
+    "fallbacks_total": "class",
+}
+DEFAULT_LABEL = "state"
+
+
+class Meters(ThreadingActor):
+    """Count and render; other tasks send it their counts."""
+
+    use_daemon_thread = True
+
+    def __init__(self):
+        super().__init__()
+        self.registry = Registry()
+        self.counters = {}
+
+    def on_receive(self, message):
+        """Handle `Counted` and `RenderMetrics`."""
+        if isinstance(message, Counted):
+            for count in message.counts:
+                self._add(count)
+            return None
+        if isinstance(message, RenderMetrics):
+            return render(self.registry, message.accepts)
+        return None
+
+    def _add(self, count):
+        counter = self.counters.get(count.name)
+        if counter is None:
+            name = PREFIX + count.name
+            counter = Counter(name, f"Count of {count.name}.", registry=self.registry)
+            self.counters[count.name] = counter
+        labels = {}
+        if count.label:
+            labels[LABELS.get(count.name, DEFAULT_LABEL)] = str(count.label)
+        counter.add(labels, count.amount)
--- /dev/null
+++ b/packages/cyclamentally-node/cyclamentally_node/peer_codec.py
@@ -0,0 +1,76 @@
+"""Encoding of messages between nodes: MessagePack, compressed if large."""
+
+from typing import get_type_hints
+from zlib import compress, decompressobj, error
+
+from msgspec import DecodeError, MsgspecError, convert
+from msgspec.msgpack import decode, encode
+
+from cyclamentally.errors import Done, Kind, Refused
+from cyclamentally.messages import MESSAGE_TYPES
+from cyclamentally.records import Record
+
+PLAIN = b"p"
+COMPRESSED = b"z"
+COMPRESS_FROM_BYTES = 1_024
+MAX_MESSAGE_BYTES = 8_000_000
+
+_CODES = {cls: code for code, cls in enumerate(MESSAGE_TYPES)}
+_FIELDS = {}
+
+
+def encode_message(message):
+    """Return the bytes of a message."""
+    body = encode([_CODES[type(message)], message.values()], enc_hook=Record.values)
+    if len(body) >= COMPRESS_FROM_BYTES:
+        return COMPRESSED + compress(body, 1)
+    return PLAIN + body
+
+
+def decode_message(data):
+    """Return ``Done`` with the message, or ``Refused``.
+
+    Every field is checked against the annotations of the message class.
+    """
+    body = _unwrap(data)
+    if isinstance(body, Refused):
+        return body
+    try:
+        code, values = decode(body.value, type=tuple[int, list])
+        if not 0 <= code < len(MESSAGE_TYPES):
+            return Refused(Kind.MESSAGE_MALFORMED, f"unknown code {code}")
+        return Done(_build(MESSAGE_TYPES[code], values))
+    except (DecodeError, MsgspecError, TypeError, ValueError, RecursionError) as reason:
+        return Refused(Kind.MESSAGE_MALFORMED, str(reason)[:200])
+
+
+def _unwrap(data):
+    if len(data) > MAX_MESSAGE_BYTES:
+        return Refused(Kind.MESSAGE_TOO_LARGE, f"{len(data)} bytes")
+    if data[:1] == PLAIN:
+        return Done(data[1:])
+    if data[:1] != COMPRESSED:
+        return Refused(Kind.MESSAGE_MALFORMED, "unknown first byte")
+    decompressor = decompressobj()
+    try:
+        body = decompressor.decompress(data[1:], MAX_MESSAGE_BYTES)
+    except error as reason:
+        return Refused(Kind.MESSAGE_MALFORMED, str(reason))
+    if not decompressor.eof:
+        return Refused(Kind.MESSAGE_TOO_LARGE, "compressed body is cut or too large")
+    return Done(body)
+
+
+def _build(cls, values):
+    types = _field_types(cls)
+    if not isinstance(values, list) or len(values) != len(types):
+        raise ValueError(f"{cls.__name__} has {len(types)} fields")
+    pairs = zip(values, types, strict=True)
+    return cls(*[convert(value, kind, dec_hook=_build) for value, kind in pairs])
+
+
+def _field_types(cls):
+    if cls not in _FIELDS:
+        hints = get_type_hints(cls.__init__)
+        _FIELDS[cls] = [hints[name] for name in cls.__slots__]
+    return _FIELDS[cls]
--- /dev/null
+++ b/packages/cyclamentally-node/cyclamentally_node/peers.py
@@ -0,0 +1,158 @@
+"""The tasks that own the sockets towards other nodes."""
+
+from socket import ntohs
+
+from absl.logging import get_absl_logger
+from pykka import ThreadingActor
+from pynng import Pull0, Push0, Timeout, TryAgain
+from pynng.exceptions import NNGException
+
+from cyclamentally.effects import Count
+from cyclamentally.errors import Refused
+from cyclamentally_node.events import Counted, PeerReceived, PeerSend, Receive
+from cyclamentally_node.peer_codec import (
+    MAX_MESSAGE_BYTES,
+    decode_message,
+    encode_message,
+)
+
+logger = get_absl_logger()
+
+RECEIVE_TIMEOUT_MS = 500
+SEND_QUEUE_MESSAGES = 64
+MAX_LINKS = 64
+RECONNECT_MIN_MS = 100
+RECONNECT_MAX_MS = 2_000
+
+
+class PeerReceiver(ThreadingActor):
+    """Own the listening socket; pass decoded messages to the control task.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:port`` to listen on.
+    region : str
+        Region of this node.
+    control : pykka.ActorRef
+        Receiver of the messages.
+    meters : pykka.ActorRef
+        Receiver of the counts.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(self, address, region, control, meters):
+        super().__init__()
+        self.region = region
+        self.control = control
+        self.meters = meters
+        self.socket = Pull0(recv_timeout=RECEIVE_TIMEOUT_MS)
+        self.socket.recv_max_size = MAX_MESSAGE_BYTES
+        self.socket.listen(f"tcp://{address}")
+
+    @property
+    def port(self):
+        """Port that the socket listens on."""
+        return ntohs(self.socket.listeners[0].local_address.port)
+
+    def on_start(self):
+        """Begin to receive."""
+        self.actor_ref.tell(Receive())
+
+    def on_receive(self, message):
+        """Wait for one message, then go on."""
+        self._receive()
+        self.actor_ref.tell(Receive())
+
+    def on_stop(self):
+        """Close the socket."""
+        self.socket.close()
+
+    def _receive(self):
+        try:
+            data = self.socket.recv()
+        except Timeout:
+            return
+        decoded = decode_message(data)
+        if isinstance(decoded, Refused):
+            count = Count("messages_refused_total", decoded.kind)
+            self.meters.tell(Counted([count]))
+            return
+        message = decoded.value
+        pair = f"{message.sender.region}>{self.region}"
+        count = Count("peer_bytes_received_total", pair, len(data))
+        self.meters.tell(Counted([count]))
+        self.control.tell(PeerReceived(message, len(data)))
+
+
+class PeerSender(ThreadingActor):
+    """Own the sockets to other nodes; a message that does not fit is dropped.
+
+    Probes and digests make good what is lost.
+
+    Parameters
+    ----------
+    region : str
+        Region of this node.
+    meters : pykka.ActorRef
+        Receiver of the counts.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(self, region, meters):
+        super().__init__()
+        self.region = region
+        self.meters = meters
+        self.links = {}
+
+    def on_receive(self, message):
+        """Handle `PeerSend`."""
+        if not isinstance(message, PeerSend):
+            return
+        counts = []
+        encoded = {}
+        for send in message.sends:
+            key = id(send.message)
+            if key not in encoded:
+                encoded[key] = encode_message(send.message)
+            counts.append(self.deliver(send, encoded[key]))
+        self.meters.tell(Counted(counts))
+
+    def on_stop(self):
+        """Close all sockets."""
+        for link in self.links.values():
+            link.close()
+
+    def deliver(self, send, data):
+        """Send bytes to a peer and return the count."""
+        try:
+            self._link(send.address).send(data, block=False)
+        except TryAgain:
+            return Count("messages_dropped_total", "queue_full")
+        except NNGException:
+            self.links.pop(send.address).close()
+            return Count("messages_dropped_total", "link_failed")
+        pair = f"{self.region}>{send.region or 'unknown'}"
+        return Count("peer_bytes_sent_total", pair, len(data))
+
+    def _link(self, address):
+        link = self.links.pop(address, None)
+        if link is None:
+            link = self._open(address)
+        # The order of the dictionary is the order of use.
+        self.links[address] = link
+        return link
+
+    def _open(self, address):
+        if len(self.links) >= MAX_LINKS:
+            oldest = next(iter(self.links))
+            self.links.pop(oldest).close()
+        link = Push0(
+            send_buffer_size=SEND_QUEUE_MESSAGES,
+            reconnect_time_min=RECONNECT_MIN_MS,
+            reconnect_time_max=RECONNECT_MAX_MS,
+        )
+        link.dial(f"tcp://{address}", block=False)
+        return link
--- /dev/null
+++ b/packages/cyclamentally-node/cyclamentally_node/settings.py
@@ -0,0 +1,213 @@
+"""The settings of a node: one table of defaults, read and checked here."""
+
+import tomllib
+from ipaddress import ip_address
+
+from cyclamentally.errors import Done, Kind, Refused
+from cyclamentally.profiles import is_name
+from cyclamentally.records import Record
+
+MAX_PORT = 65_535
+
+
+class Setting(Record):
+    """One entry of the table of settings.
+
+    Parameters
+    ----------
+    default : object
+        Value if absent; ``REQUIRED`` if it must be given.
+    kind : str
+        ``name``, ``address``, ``addresses``, ``url``, ``whole``, ``choice``.
+    allowed : tuple
+        Bounds of a whole number or the values of a choice.
+    text : str
+        Meaning and unit.
+    """
+
+    __slots__ = ("default", "kind", "allowed", "text")
+
+    def __init__(self, default, kind, text, allowed=()):
+        self.default = default
+        self.kind = kind
+        self.text = text
+        self.allowed = allowed
+
+
+REQUIRED = None
+
+DEFAULT_SETTINGS = {
+    "node.name": Setting(REQUIRED, "name", "Identifier, unique in the fleet."),
+    "node.domain": Setting(REQUIRED, "name", "Failure domain of the host."),
+    "node.region": Setting(REQUIRED, "name", "Region of the failure domain."),
+    "listen.peers": Setting(
+        REQUIRED, "address", "IP:port for other nodes; must be reachable by them."
+    ),
+    "listen.calls": Setting("127.0.0.1:8080", "address", "IP:port for callers."),
+    "listen.admin": Setting(
+        "127.0.0.1:8081",
+        "address",
+        "IP:port for operators, metrics and announcements of upstreams.",
+    ),
+    "peers.seeds": Setting(
+        [], "addresses", "Peer addresses to join through, of several domains."
+    ),
+    "platform.url": Setting(REQUIRED, "url", "Base address of the key-value service."),
+    "platform.region": Setting(REQUIRED, "name", "Region of the key-value service."),
+    "platform.timeout_ms": Setting(
+        2_000, "whole", "Longest time of a call, ms.", (10, 60_000)
+    ),
+    "platform.watch_ms": Setting(
+        5_000, "whole", "Longest wait of a watch, ms.", (100, 60_000)
+    ),
+    "calls.threads": Setting(
+        16, "whole", "Requests handled at once by this node.", (1, 256)
+    ),
+    "calls.max_body_bytes": Setting(
+        1_000_000, "whole", "Largest request body, bytes.", (0, 100_000_000)
+    ),
+    "calls.drain_ms": Setting(
+        10_000, "whole", "Longest wait for requests in flight, ms.", (0, 600_000)
+    ),
+    "log.level": Setting(
+        "info", "choice", "Least level of a log line.", ("debug", "info", "warning")
+    ),
+}
+
+
+class Settings(Record):
+    """Checked settings; an attribute for each entry of `DEFAULT_SETTINGS`.
+
+    Dots in the names of entries become underscores.
+    """
+
+    __slots__ = tuple(key.replace(".", "_") for key in DEFAULT_SETTINGS)
+
+    def __init__(self, values):
+        for key in DEFAULT_SETTINGS:
+            setattr(self, key.replace(".", "_"), values[key])
+
+
+class SettingsReader:
+    """Check the values of a settings document; `read` is the only verb.
+
+    Parameters
+    ----------
+    document : dict
+        Tables of the TOML file.
+    """
+
+    __slots__ = ("document",)
+
+    def __init__(self, document):
+        self.document = document
+
+    def read(self):
+        """Return ``Done`` with `Settings` or the first reason against them."""
+        flat = {}
+        for section, table in self.document.items():
+            if not isinstance(table, dict):
+                return _refuse(section, table, "a table such as [node]")
+            flat.update({f"{section}.{key}": value for key, value in table.items()})
+        for key, value in flat.items():
+            if key not in DEFAULT_SETTINGS:
+                return _refuse(key, value, "one of the documented settings")
+        values = {}
+        for key, setting in DEFAULT_SETTINGS.items():
+            value = flat.get(key, setting.default)
+            expected = _CHECKS[setting.kind](value, setting.allowed)
+            if expected is not None:
+                return _refuse(key, value, expected)
+            values[key] = value
+        return Done(Settings(values))
+
+
+def read_settings(path):
+    """Read and check a settings file.
+
+    Parameters
+    ----------
+    path : str
+        TOML file.
+
+    Returns
+    -------
+    Done or Refused
+        ``Done`` holds the `Settings`; ``Refused`` names key, value and what
+        is allowed in one line.
+    """
+    try:
+        with open(path, "rb") as file:
+            document = tomllib.load(file)
+    except OSError as error:
+        return Refused(Kind.SETTINGS_INVALID, f"{path}: {error.strerror}")
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        return Refused(Kind.SETTINGS_INVALID, f"{path}: {error}")
+    return SettingsReader(document).read()
+
+
+def is_address(value):
+    """Return whether a text is ``IP:port``."""
+    host, _, port = str(value).rpartition(":")
+    try:
+        ip_address(host.strip("[]"))
+    except ValueError:
+        return False
+    return port.isascii() and port.isdigit() and int(port) <= MAX_PORT
+
+
+def split_address(address):
+    """Return host and port of a checked address."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def _refuse(key, value, expected):
+    shown = "missing" if value is None else repr(value)[:80]
+    detail = f"{key}: {shown}; allowed is {expected}"
+    return Refused(Kind.SETTINGS_INVALID, detail)
+
+
+def _check_name(value, allowed):
+    is_good = isinstance(value, str) and is_name(value)
+    return None if is_good else "a name of a-z, 0-9 and hyphens"
+
+
+def _check_address(value, allowed):
+    is_good = isinstance(value, str) and is_address(value)
+    return None if is_good else "IP:port such as 10.0.0.1:7100"
+
+
+def _check_addresses(value, allowed):
+    is_good = isinstance(value, list) and all(is_address(item) for item in value)
+    return None if is_good else "a list of IP:port"
+
+
+def _check_url(value, allowed):
+    prefix = "http://"
+    is_good = isinstance(value, str) and value.startswith(prefix)
+    if is_good and is_address(value.removeprefix(prefix).rstrip("/")):
+        return None
+    return "http://IP:port"
+
+
+def _check_whole(value, allowed):
+    low, high = allowed
+    is_whole = isinstance(value, int) and not isinstance(value, bool)
+    if is_whole and low <= value <= high:
+        return None
+    return f"a whole number in {low}..{high}"
+
+
+def _check_choice(value, allowed):
+    return None if value in allowed else f"one of {', '.join(allowed)}"
+
+
+_CHECKS = {
+    "name": _check_name,
+    "address": _check_address,
+    "addresses": _check_addresses,
+    "url": _check_url,
+    "whole": _check_whole,
+    "choice": _check_choice,
+}
--- /dev/null
+++ b/packages/cyclamentally-platform/cyclamentally_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's key-value service."""
--- /dev/null
+++ b/packages/cyclamentally-platform/cyclamentally_platform/client.py
@@ -0,0 +1,115 @@
+"""HTTP client of the platform's key-value service."""
+
+from base64 import b64decode
+
+from msgspec import DecodeError
+from msgspec.json import decode
+from urllib3 import PoolManager, Timeout
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+)
+
+from cyclamentally.errors import Done, Kind, Refused
+from cyclamentally.platform import Entry, Listing, Platform
+
+HTTP_OK = 200
+HTTP_CONFLICT = 409
+HTTP_UNAVAILABLE = 503
+CONNECT_TIMEOUT_S = 1.0
+
+
+class HttpPlatform(Platform):
+    """Access to the platform by HTTP and JSON.
+
+    Parameters
+    ----------
+    url : str
+        Base address, such as ``http://10.0.0.1:7000``.
+    timeout : float
+        Longest time of a call in seconds, beyond the wait of a watch.
+    count_bytes : callable, optional
+        Takes the number of bytes sent and received by each call.
+    """
+
+    __slots__ = ("count_bytes", "pool", "timeout", "url")
+
+    def __init__(self, url, timeout, count_bytes=None):
+        self.url = url.rstrip("/")
+        self.timeout = timeout
+        self.count_bytes = count_bytes
+        self.pool = PoolManager(maxsize=1, retries=False)
+
+    def read(self, key):
+        """Read one key."""
+        return self._call("GET", f"/v1/key/{key}", self.timeout, _entry)
+
+    def read_all(self, prefix):
+        """Read all keys below a prefix."""
+        return self._call("GET", f"/v1/keys/{prefix}", self.timeout, _listing)
+
+    def watch(self, prefix, cursor, wait):
+        """Wait for changes below a prefix."""
+        path = f"/v1/watch/{prefix}?cursor={cursor}&wait={wait}"
+        return self._call("GET", path, self.timeout + wait, _listing)
+
+    def write(self, key, value, revision):
+        """Compare and swap one key."""
+        path = f"/v1/key/{key}?revision={revision}"
+        return self._call("PUT", path, self.timeout, _revision, value)
+
+    def close(self):
+        """Close all connections."""
+        self.pool.clear()
+
+    def _call(self, method, path, timeout, convert, body=None):
+        limits = Timeout(connect=CONNECT_TIMEOUT_S, read=timeout)
+        is_write = method == "PUT"
+        try:
+            response = self.pool.request(
+                method, self.url + path, body=body, timeout=limits
+            )
+        except (NewConnectionError, ConnectTimeoutError) as error:
+            return Refused(Kind.PLATFORM_UNAVAILABLE, str(error)[:200])
+        except HTTPError as error:
+            kind = Kind.PLATFORM_UNAVAILABLE
+            if is_write:
+                kind = Kind.PLATFORM_OUTCOME_UNKNOWN
+            return Refused(kind, str(error)[:200])
+        if self.count_bytes is not None:
+            self.count_bytes(len(body or b""), len(response.data))
+        return _convert(response, convert, is_write)
+
+
+def _convert(response, convert, is_write):
+    if response.status == HTTP_CONFLICT:
+        return Refused(Kind.VERSION_CONFLICT, "the entry has changed")
+    if response.status != HTTP_OK:
+        detail = f"platform answered {response.status}"
+        # A gateway may lose the answer of a write that took effect.
+        kind = Kind.PLATFORM_UNAVAILABLE
+        if is_write and response.status != HTTP_UNAVAILABLE:
+            kind = Kind.PLATFORM_OUTCOME_UNKNOWN
+        return Refused(kind, detail)
+    try:
+        return Done(convert(decode(response.data)))
+    except (DecodeError, KeyError, TypeError, ValueError) as error:
+        kind = Kind.PLATFORM_UNAVAILABLE
+        if is_write:
+            kind = Kind.PLATFORM_OUTCOME_UNKNOWN
+        return Refused(kind, f"malformed answer: {error!r}"[:200])
+
+
+def _entry(document):
+    value = b64decode(document["value"])
+    return Entry(str(document["key"]), value, int(document["revision"]))
+
+
+def _listing(document):
+    entries = [_entry(entry) for entry in document["entries"]]
+    return Listing(entries, int(document["cursor"]))
+
+
+def _revision(document):
+    return int(document["revision"])
--- /dev/null
+++ b/packages/cyclamentally-testing/cyclamentally_testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, upstreams and callers."""
--- /dev/null
+++ b/packages/cyclamentally-testing/cyclamentally_testing/upstream_server.py
@@ -0,0 +1,169 @@
+"""Stand-in of an upstream that announces itself to the node on its host.
+
+Request headers choose its behaviour: ``X-Work-Ms`` (time of work),
+``X-Size`` (bytes of the answer) and ``X-Fail`` (``crash``, ``truncate``,
+``shed``). It records every executed request for ``GET /record``.
+"""
+
+import os
+import sys
+from threading import Event, Lock, Thread
+
+from msgspec.json import decode, encode
+from urllib3 import PoolManager
+from urllib3.exceptions import HTTPError
+from waitress import create_server
+
+ANNOUNCE_PERIOD_S = 1.0
+ANNOUNCE_TIMEOUT_S = 1.0
+THREADS = 16
+CRASH_CODE = 70
+
+
+class UpstreamServer:
+    """Serve requests and announce the service.
+
+    Parameters
+    ----------
+    service, profile : str
+        Service and the profile that it follows.
+    port : int
+        Port; 0 lets the system choose.
+    admin : str
+        Admin address of the node on the host, ``IP:port``.
+    slots : int
+        Requests that it executes at once; more are shed.
+    """
+
+    __slots__ = (
+        "admin",
+        "busy",
+        "closed",
+        "draining",
+        "executed",
+        "lock",
+        "pool",
+        "profile",
+        "server",
+        "service",
+        "slots",
+    )
+
+    def __init__(self, service, profile, port, admin, slots=10):
+        self.service = service
+        self.profile = profile
+        self.admin = admin
+        self.slots = slots
+        self.busy = 0
+        self.draining = False
+        self.executed = {}
+        self.lock = Lock()
+        self.closed = Event()
+        self.pool = PoolManager(retries=False)
+        self.server = create_server(self, host="127.0.0.1", port=port, threads=THREADS)
+
+    @property
+    def address(self):
+        """``IP:port`` of the server."""
+        return f"127.0.0.1:{self.server.effective_port}"
+
+    def start(self):
+        """Announce and serve until `close` is called."""
+        Thread(target=self._announce_forever, daemon=True).start()
+        self.server.run()
+
+    def close(self):
+        """Stop announcing and serving."""
+        self.closed.set()
+        self.server.close()
+
+    def announce(self):
+        """Announce the upstream once."""
+        body = encode(
+            {
+                "service": self.service,
+                "profile": self.profile,
+                "slots": self.slots,
+                "connections": 12 * self.slots,
+                "draining": self.draining,
+            }
+        )
+        url = f"http://{self.admin}/upstreams/{self.address}"
+        try:
+            self.pool.request("PUT", url, body=body, timeout=ANNOUNCE_TIMEOUT_S)
+        except HTTPError:
+            return False
+        return True
+
+    def _announce_forever(self):
+        while not self.closed.is_set():
+            self.announce()
+            self.closed.wait(ANNOUNCE_PERIOD_S)
+
+    def __call__(self, environ, start_response):
+        """Answer a WSGI request."""
+        path = environ["PATH_INFO"]
+        if path == "/record":
+            return _answer(start_response, encode(self.executed))
+        if path == "/drain":
+            self.draining = True
+            self.announce()
+            return _answer(start_response, b"{}")
+        with self.lock:
+            if self.busy >= self.slots or environ.get("HTTP_X_FAIL") == "shed":
+                return _shed(start_response)
+            self.busy += 1
+        try:
+            return self._execute(environ, start_response)
+        finally:
+            with self.lock:
+                self.busy -= 1
+
+    def _execute(self, environ, start_response):
+        body = environ["wsgi.input"].read()
+        token = environ.get("HTTP_X_TOKEN", "")
+        with self.lock:
+            self.executed[token] = self.executed.get(token, 0) + 1
+        fault = environ.get("HTTP_X_FAIL", "")
+        if fault == "crash":
+            os._exit(CRASH_CODE)
+        self.closed.wait(float(environ.get("HTTP_X_WORK_MS", 0)) / 1_000)
+        size = int(environ.get("HTTP_X_SIZE", 0))
+        document = {
+            "service": self.service,
+            "token": token,
+            "received": len(body),
+            "padding": "x" * size,
+        }
+        answer = encode(document)
+        if fault == "truncate":
+            start_response("200 OK", [("Content-Length", str(len(answer) + 10))])
+            return [answer]
+        return _answer(start_response, answer)
+
+
+def _answer(start_response, body):
+    start_response("200 OK", [("Content-Length", str(len(body)))])
+    return [body]
+
+
+def _shed(start_response):
+    headers = [("Content-Length", "0"), ("Cyclamentally-Ran", "no")]
+    start_response("503 Service Unavailable", headers)
+    return [b""]
+
+
+def main():
+    """Run the stand-in; arguments: service, profile, port, admin, slots."""
+    service, profile, port, admin, slots = sys.argv[1:]
+    UpstreamServer(service, profile, int(port), admin, int(slots)).start()
+
+
+def read_record(pool, address):
+    """Return how often each token was executed by an upstream."""
+    response = pool.request("GET", f"http://{address}/record", timeout=2.0)
+    return decode(response.data)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/cyclamentally/cyclamentally/announcements.py
@@ -0,0 +1,106 @@
+"""Upstreams announced to the node on their host."""
+
+from cyclamentally.chart import runs_chart
+from cyclamentally.effects import Count, StateChanged
+from cyclamentally.errors import Done, Kind, Refused
+from cyclamentally.profiles import is_name
+
+ANNOUNCEMENT_S = 3.5
+MAX_UPSTREAMS = 32
+MAX_SLOTS = 100_000
+
+
+@runs_chart("announcement")
+class Announcement:
+    """One announced upstream; runs the chart ``announcement``.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:port`` of the upstream.
+    """
+
+    __slots__ = ("address", "state", "upstream")
+
+    def __init__(self, address):
+        self.address = address
+        self.state = self.chart.initial
+        self.upstream = None
+
+    def fire(self, event, upstream=None):
+        """Run an event and return the effects."""
+        before = self.state
+        effects = self.chart.fire(self, event, upstream)
+        if self.state != before:
+            effects.append(Count("announcements_total", self.state))
+            effects.append(StateChanged(f"upstream {self.address}", self.state, event))
+        return effects
+
+    def adopt(self, upstream):
+        """Take over what was announced."""
+        self.upstream = upstream
+
+    def remove(self, upstream):
+        """Forget what was announced."""
+        self.upstream = None
+
+
+class Announcements:
+    """The upstreams on this node's host; each has to renew its announcement."""
+
+    __slots__ = ("entries", "expires")
+
+    def __init__(self):
+        self.entries = {}
+        self.expires = {}
+
+    def announce(self, upstream, now):
+        """Take in an announcement.
+
+        Returns
+        -------
+        Done or Refused
+            ``Done`` holds the effects.
+        """
+        refusal = self._check(upstream)
+        if refusal is not None:
+            return refusal
+        address = upstream.address
+        entry = self.entries.setdefault(address, Announcement(address))
+        self.expires[address] = now + ANNOUNCEMENT_S
+        event = "announce_draining" if upstream.draining else "announce"
+        return Done(entry.fire(event, upstream))
+
+    def withdraw(self, address):
+        """Take back an announcement; returns the effects."""
+        return self._end(address, "withdraw")
+
+    def tick(self, now):
+        """End announcements that were not renewed; returns the effects."""
+        effects = []
+        for address, expires in list(self.expires.items()):
+            if now >= expires:
+                effects += self._end(address, "lapse")
+        return effects
+
+    def upstreams(self):
+        """Return the announced upstreams, ordered by address."""
+        entries = [self.entries[address] for address in sorted(self.entries)]
+        return [entry.upstream for entry in entries if entry.upstream is not None]
+
+    def _end(self, address, event):
+        if address not in self.entries:
+            return []
+        del self.expires[address]
+        return self.entries.pop(address).fire(event)
+
+    def _check(self, upstream):
+        if not is_name(upstream.service) or not is_name(upstream.profile):
+            return Refused(Kind.BAD_REQUEST, "service and profile must be names")
+        for key in ("slots", "connections"):
+            if not 1 <= getattr(upstream, key) <= MAX_SLOTS:
+                return Refused(Kind.BAD_REQUEST, f"{key} is not in 1..{MAX_SLOTS}")
+        is_new = upstream.address not in self.entries
+        if is_new and len(self.entries) >= MAX_UPSTREAMS:
+            return Refused(Kind.BAD_REQUEST, f"over {MAX_UPSTREAMS} upstreams")
+        return None
--- a/packages/cyclamentally/cyclamentally/platform.py
+++ b/packages/cyclamentally/cyclamentally/platform.py
@@ -6,6 +6,7 @@
 
 PROFILE_PREFIX = "profiles/"
 SEED_PREFIX = "seeds/"
+HISTORY_PREFIX = "history/"
 
 
 class Entry(Record):
