Contact other domains outside of the relay roles

Cause: with all relays of all domains lost at once, each domain went on naming dead nodes as the relays of the others, so no news crossed any more. Found by test_members_agree_after_healing[kill_all_relays]: after 40 s a node still counted three dead nodes as alive. Ruled out: the digests, which were never exchanged. Also found: an empty first body broke the split of a push (IndexError for a tombstone). Change: a relay pings a random node of another domain every 5 s, every 1 s while its source is silent; the split starts its first batch unconditionally. Conclusion: contacts outside of the roles are needed for agreement.

--- a/packages/cyclamentally-testing/cyclamentally_testing/delayed_node.py
+++ b/packages/cyclamentally-testing/cyclamentally_testing/delayed_node.py
@@ -23,6 +23,8 @@
 class DelayedSender(PeerSender):
     """Send after the one-way delay of the link; order is kept."""
 
+    __slots__ = ("delayed",)
+
     use_daemon_thread = True
 
     def on_start(self):
--- a/packages/cyclamentally/cyclamentally/control.py
+++ b/packages/cyclamentally/cyclamentally/control.py
@@ -108,7 +108,7 @@
         self.membership = Membership(self.table, *shared, random, now)
         self.prober = Prober(self.membership, self.summarize, random, now)
         self.distribution = Distribution(self.versions, *shared, random, now)
-        self.relay = Relay(self.membership, *shared, now)
+        self.relay = Relay(self.membership, *shared, random, now)
         self.reporter = Reporter(self.versions, *shared, random, now)
         self.board = StatusBoard(self.versions, *shared)
         self.life = NodeLife(self.membership, self.distribution, seeds, random, now)
--- a/packages/cyclamentally/cyclamentally/distribution.py
+++ b/packages/cyclamentally/cyclamentally/distribution.py
@@ -263,9 +263,9 @@
 def split_by_bytes(changes):
     """Return the changes in lists that stay under the size of a push."""
     batches = []
-    size = PUSH_BYTES
+    size = 0
     for change in changes:
-        if size + len(change.body) > PUSH_BYTES:
+        if not batches or size + len(change.body) > PUSH_BYTES:
             batches.append([])
             size = 0
         batches[-1].append(change)
--- a/packages/cyclamentally/cyclamentally/relays.py
+++ b/packages/cyclamentally/cyclamentally/relays.py
@@ -2,10 +2,13 @@
 
 from cyclamentally.chart import runs_chart
 from cyclamentally.effects import Count, Send, StateChanged, WatchPlatform
-from cyclamentally.messages import Beat, BeatAck
+from cyclamentally.messages import Beat, BeatAck, Ping
 
 BEAT_PERIOD_S = 1.0
 SILENCE_S = 3.0
+CONTACT_PERIOD_S = 5.0
+SEEKING_CONTACT_PERIOD_S = 1.0
+CONTACT_SEQUENCE = 0
 
 
 @runs_chart("relay")
@@ -20,6 +23,8 @@
         Roles.
     summarize : callable
         Returns the `Summary` of this node.
+    random : random.Random
+        Source of random numbers.
     now : float
         Time in seconds.
     """
@@ -29,20 +34,24 @@
         "generation",
         "membership",
         "next_beat",
+        "next_contact",
         "platform_ok",
+        "random",
         "state",
         "summarize",
         "topology",
     )
 
-    def __init__(self, membership, topology, summarize, now):
+    def __init__(self, membership, topology, summarize, random, now):
         self.membership = membership
         self.topology = topology
         self.summarize = summarize
         self.state = self.chart.initial
         self.generation = -1
         self.deadline = 0.0
+        self.random = random
         self.next_beat = now
+        self.next_contact = now + CONTACT_PERIOD_S
         self.platform_ok = False
 
     @property
@@ -61,6 +70,11 @@
         if now >= self.next_beat:
             self.next_beat = now + BEAT_PERIOD_S
             effects += self._beat()
+        if now >= self.next_contact:
+            is_seeking = self.state == "seeking"
+            period = SEEKING_CONTACT_PERIOD_S if is_seeking else CONTACT_PERIOD_S
+            self.next_contact = now + period
+            effects += self._contact()
         return effects
 
     def on_beat(self, beat, now):
@@ -118,3 +132,26 @@
             )
             effects.append(Send(record.address, record.region, beat))
         return effects
+
+    def _contact(self):
+        """Ping a random node of another domain.
+
+        The relays of two domains may be lost together. Each domain then
+        still names dead nodes as relays of the other, and only a contact
+        outside of the roles makes the news cross.
+        """
+        if self.state == "member":
+            return []
+        own = self.topology.table.own_record
+        others = [
+            record
+            for domain in self.topology.table.domains()
+            if domain != own.domain
+            for record in self.topology.table.live(domain)
+        ]
+        if not others:
+            return []
+        record = self.random.choice(others)
+        updates = self.membership.gossip_for(record.node)
+        ping = Ping(self.summarize(), CONTACT_SEQUENCE, updates)
+        return [Send(record.address, record.region, ping)]
--- /dev/null
+++ b/packages/cyclamentally/cyclamentally/tests/support.py
@@ -0,0 +1,155 @@
+"""Shared support: control planes that exchange messages in memory."""
+
+from collections import deque
+from random import Random
+
+from cyclamentally.bodies import JsonBodyCodec
+from cyclamentally.control import TICK_S, ControlPlane, Identity
+from cyclamentally.effects import Send, WatchPlatform
+from cyclamentally.versions import ProfileVersion
+
+HOME = "gogledd"
+
+
+def body_of(document):
+    return JsonBodyCodec().canonical(document)
+
+
+def document_of(*services, timeout_ms=1_000):
+    return {
+        "services": {name: {"timeout_ms": timeout_ms} for name in services},
+        "routes": {f"/{name}": {"service": name} for name in services},
+    }
+
+
+def version_of(name, number, document=None, deleted=False):
+    body = b"" if deleted else body_of(document or document_of("standings"))
+    return ProfileVersion(name, number, deleted, "ann", f"op-{number}", body)
+
+
+class FakePlatform:
+    """Versions by name; planes that watch get each change at once."""
+
+    def __init__(self):
+        self.versions = {}
+        self.is_up = True
+
+    def write(self, version):
+        self.versions[version.name] = version
+
+
+class Exchange:
+    """Deliver messages between a few planes under a fake clock."""
+
+    def __init__(self, seed=1):
+        self.random = Random(seed)
+        self.now = 100.0
+        self.planes = {}
+        self.by_address = {}
+        self.queue = deque()
+        self.platform = FakePlatform()
+        self.watching = set()
+        self.informed = {}
+        self.is_cut = lambda sender, receiver: False
+        self.cut_from_platform = set()
+        self.paused = set()
+        self.sent = []
+        self.effects = []
+        self.started = 0
+
+    def add(self, name, domain, region=HOME, seeds=()):
+        self.started += 1
+        address = f"10.0.0.{self.started}:7100"
+        identity = Identity(name, domain, region, address, int(self.now * 1_000))
+        seeds = list(seeds) or [p.identity.address for p in self.planes.values()]
+        plane = ControlPlane(
+            identity, HOME, seeds, JsonBodyCodec(), self.random, self.now
+        )
+        self.planes[name] = plane
+        self.by_address[address] = name
+        self.watching.discard(name)
+        self.informed.pop(name, None)
+        return plane
+
+    def kill(self, name):
+        del self.planes[name]
+        self.watching.discard(name)
+
+    def run(self, seconds):
+        end = self.now + seconds
+        while self.now < end:
+            self.step()
+
+    def run_until(self, condition, seconds):
+        end = self.now + seconds
+        while not condition():
+            assert self.now < end, "condition not reached in time"
+            self.step()
+
+    def step(self):
+        self.now += TICK_S
+        for name in list(self.planes):
+            if name not in self.paused:
+                self.carry_out(name, self.planes[name].tick(self.now))
+        self.inform()
+        self.deliver_all()
+
+    def inform(self):
+        for name in list(self.watching):
+            plane = self.planes.get(name)
+            if plane is None or name in self.paused:
+                continue
+            is_up = self.platform.is_up and name not in self.cut_from_platform
+            self.carry_out(name, plane.on_platform_state(is_up))
+            if not is_up:
+                self.informed.pop(name, None)
+                continue
+            known = self.informed.get(name)
+            current = dict(self.platform.versions)
+            if known == current:
+                continue
+            self.informed[name] = current
+            changed = [v for n, v in current.items() if not known or known.get(n) != v]
+            effects = plane.on_platform_versions(changed, known is None, self.now)
+            self.carry_out(name, effects)
+
+    def carry_out(self, name, effects):
+        for effect in effects:
+            self.effects.append((name, effect))
+            if isinstance(effect, Send):
+                self.queue.append((name, effect))
+            elif isinstance(effect, WatchPlatform):
+                self.watching.discard(name)
+                self.informed.pop(name, None)
+                if effect.active:
+                    self.watching.add(name)
+
+    def deliver_all(self):
+        while self.queue:
+            self.deliver(*self.queue.popleft())
+
+    def deliver(self, sender, send):
+        receiver = self.by_address.get(send.address)
+        if receiver not in self.planes or sender not in self.planes:
+            return
+        if receiver in self.paused or self.is_cut(sender, receiver):
+            return
+        self.sent.append((sender, receiver, send.message))
+        plane = self.planes[receiver]
+        self.carry_out(receiver, plane.receive(send.message, self.now))
+
+    def installed(self, profile):
+        return {
+            name: plane.versions.slots[profile].installed.version
+            for name, plane in self.planes.items()
+            if profile in plane.versions.slots
+            and plane.versions.slots[profile].installed
+        }
+
+    def all_at(self, profile, number, names=None):
+        installed = self.installed(profile)
+        return all(installed.get(n) == number for n in names or self.planes)
+
+    def states(self, name):
+        plane = self.planes[name]
+        return {record.node: record.status for record in plane.table.records()}
--- /dev/null
+++ b/packages/cyclamentally/cyclamentally/tests/test_control.py
@@ -0,0 +1,349 @@
+"""Fault cases of membership and distribution over a few planes."""
+
+import pytest
+
+from cyclamentally.messages import ChangePush, VersionDigest
+from cyclamentally.model import Upstream
+from cyclamentally.tests.support import document_of, version_of
+
+DOMAIN = "de-1"
+
+
+def region_of(name):
+    return name.rsplit("-", 2)[0]
+
+
+def domain_of(name):
+    return name.rsplit("-", 1)[0]
+
+
+def put(exchange, number, deleted=False):
+    document = document_of("standings", timeout_ms=1_000 + number)
+    exchange.platform.write(version_of("night", number, document, deleted))
+
+
+def upstream(draining=False):
+    return Upstream("standings", "night", "10.0.1.1:8000", 10, 120, draining)
+
+
+def test_change_is_in_force_everywhere_at_once(fleet):
+    put(fleet, 1)
+    fleet.step()
+    assert fleet.all_at("night", 1)
+
+
+def test_only_the_source_watches_the_platform(fleet):
+    assert len(fleet.watching) == 1
+    (source,) = fleet.watching
+    assert region_of(source) == "gogledd"
+
+
+def test_one_push_crosses_to_each_region(fleet):
+    fleet.sent.clear()
+    put(fleet, 1)
+    fleet.step()
+    crossing = [
+        (sender, receiver)
+        for sender, receiver, message in fleet.sent
+        if isinstance(message, ChangePush) and region_of(sender) != region_of(receiver)
+    ]
+    assert len(crossing) == 2
+    assert {region_of(receiver) for _, receiver in crossing} == {"canolbarth", "de"}
+
+
+def cut_region(fleet):
+    fleet.is_cut = lambda a, b: (region_of(a) == "de") != (region_of(b) == "de")
+    fleet.cut_from_platform = {n for n in fleet.planes if region_of(n) == "de"}
+
+
+def cut_domain(fleet):
+    fleet.is_cut = lambda a, b: (domain_of(a) == DOMAIN) != (domain_of(b) == DOMAIN)
+    fleet.cut_from_platform = {n for n in fleet.planes if domain_of(n) == DOMAIN}
+
+
+def cut_domain_one_way(fleet):
+    fleet.is_cut = lambda a, b: domain_of(b) == DOMAIN != domain_of(a)
+    fleet.cut_from_platform = {n for n in fleet.planes if domain_of(n) == DOMAIN}
+
+
+def cut_domain_and_platform(fleet):
+    cut_domain(fleet)
+    fleet.platform.is_up = False
+
+
+def kill_relays(fleet):
+    for plane in list(fleet.planes.values()):
+        if plane.topology.is_relay() and domain_of(plane.identity.node) == DOMAIN:
+            fleet.kill(plane.identity.node)
+
+
+def kill_source(fleet):
+    fleet.kill(next(iter(fleet.watching)))
+
+
+def kill_all_relays(fleet):
+    for plane in list(fleet.planes.values()):
+        if plane.topology.is_relay():
+            fleet.kill(plane.identity.node)
+
+
+def pause_source(fleet):
+    fleet.paused.add(next(iter(fleet.watching)))
+
+
+def platform_down(fleet):
+    fleet.platform.is_up = False
+
+
+def heal(fleet):
+    fleet.is_cut = lambda a, b: False
+    fleet.cut_from_platform = set()
+    fleet.platform.is_up = True
+    fleet.paused.clear()
+
+
+FAULTS = [
+    cut_region,
+    cut_domain,
+    cut_domain_one_way,
+    cut_domain_and_platform,
+    kill_relays,
+    kill_source,
+    kill_all_relays,
+    pause_source,
+    platform_down,
+]
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_change_under_a_fault_reaches_all_after_healing(fleet, fault):
+    put(fleet, 1)
+    fleet.step()
+    fault(fleet)
+    fleet.run(2)
+    put(fleet, 2)
+    seen = dict(fleet.installed("night"))
+    for _ in range(40):
+        fleet.run(0.4)
+        for name, number in fleet.installed("night").items():
+            assert number >= seen.get(name, 0)
+            seen[name] = number
+    heal(fleet)
+    fleet.run_until(lambda: fleet.all_at("night", 2), 12)
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_members_agree_after_healing(fleet, fault):
+    fault(fleet)
+    fleet.run(15)
+    heal(fleet)
+    fleet.run(25)
+    live = set(fleet.planes)
+    for name in live:
+        states = fleet.states(name)
+        assert {n for n, state in states.items() if state == "alive"} >= live
+        same_domain = [n for n in states if domain_of(n) in map(domain_of, live)]
+        for node in same_domain:
+            assert (states[node] == "alive") == (node in live)
+
+
+@pytest.mark.parametrize("fault", [kill_source, pause_source])
+def test_change_is_in_force_within_7_s_without_the_source(fleet, fault):
+    put(fleet, 1)
+    fleet.step()
+    fault(fleet)
+    put(fleet, 2)
+    others = [n for n in fleet.planes if n not in fleet.paused]
+    fleet.run_until(lambda: fleet.all_at("night", 2, others), 7)
+
+
+def test_cut_off_domain_keeps_its_configuration_and_upstreams(fleet):
+    put(fleet, 1)
+    host = f"{DOMAIN}-a"
+    fleet.carry_out(host, fleet.planes[host].announce([upstream()]))
+    fleet.step()
+    cut_domain_and_platform(fleet)
+    fleet.run(30)
+    for name, plane in fleet.planes.items():
+        if domain_of(name) == DOMAIN:
+            assert plane.snapshot.find_route("/standings") is not None
+            assert plane.life.state == "serving"
+
+
+def test_paused_node_that_wakes_does_no_harm(fleet):
+    put(fleet, 1)
+    fleet.step()
+    source = next(iter(fleet.watching))
+    fleet.paused.add(source)
+    fleet.run(10)
+    assert fleet.states("de-1-a")[source] == "dead"
+    put(fleet, 2)
+    fleet.run(5)
+    fleet.paused.clear()
+    fleet.step()
+    assert fleet.all_at("night", 2, [n for n in fleet.planes if n != source])
+    fleet.run_until(lambda: fleet.all_at("night", 2), 5)
+    fleet.run_until(lambda: fleet.states("de-1-a")[source] == "alive", 10)
+
+
+def test_accused_live_node_refutes(fleet):
+    accused = "gogledd-1-a"
+    fleet.is_cut = lambda a, b: accused in (a, b) and "gogledd-1-b" in (a, b)
+    fleet.run(20)
+    assert fleet.states("gogledd-1-b")[accused] == "alive"
+
+
+def test_restarted_node_gets_the_newest_version_before_it_serves(fleet):
+    put(fleet, 1)
+    fleet.step()
+    put(fleet, 2)
+    fleet.step()
+    fleet.platform.is_up = False
+    fleet.kill("de-1-a")
+    seeds = [fleet.planes["gogledd-1-b"].identity.address]
+    plane = fleet.add("de-1-a", DOMAIN, "de", seeds)
+    while plane.life.state == "joining":
+        assert plane.versions.seen("night") in (0, 2)
+        fleet.step()
+    assert plane.versions.seen("night") == 2
+
+
+def test_replaced_node_at_another_address_is_reached(fleet):
+    fleet.kill("de-2-a")
+    seeds = [fleet.planes["de-2-b"].identity.address]
+    plane = fleet.add("de-2-a", "de-2", "de", seeds)
+    fleet.run(5)
+    for other in fleet.planes.values():
+        assert other.table.get("de-2-a").address == plane.identity.address
+    put(fleet, 1)
+    fleet.step()
+    assert fleet.all_at("night", 1)
+
+
+def test_returning_herd_is_bounded_and_completes(exchange):
+    for number in range(24):
+        exchange.add(f"d-1-{number}", "d-1")
+    exchange.run_until(
+        lambda: all(p.life.state == "serving" for p in exchange.planes.values()), 60
+    )
+    for number in range(30):
+        exchange.platform.write(version_of(f"profile-{number}", 1))
+    exchange.run(2)
+    seeds = [p.identity.address for p in list(exchange.planes.values())[12:15]]
+    for number in range(12):
+        exchange.kill(f"d-1-{number}")
+    exchange.run(1)
+    exchange.effects.clear()
+    for number in range(12):
+        exchange.add(f"d-1-{number}", "d-1", seeds=seeds)
+    exchange.run_until(
+        lambda: all(p.life.state == "serving" for p in exchange.planes.values()), 30
+    )
+    for plane in exchange.planes.values():
+        assert plane.versions.total == 30
+
+
+def test_deleted_and_created_profile_moves_only_up(fleet):
+    put(fleet, 1)
+    fleet.step()
+    put(fleet, 2, deleted=True)
+    fleet.step()
+    assert all(not p.versions.profiles() for p in fleet.planes.values())
+    put(fleet, 3)
+    fleet.step()
+    assert fleet.all_at("night", 3)
+
+
+def test_crossed_and_repeated_watch_events_change_nothing(fleet):
+    put(fleet, 2)
+    fleet.step()
+    source = next(iter(fleet.watching))
+    plane = fleet.planes[source]
+    for number in (1, 2, 1):
+        effects = plane.on_platform_versions(
+            [version_of("night", number)], False, fleet.now
+        )
+        fleet.carry_out(source, effects)
+    fleet.run(2)
+    assert fleet.all_at("night", 2)
+
+
+def test_missed_push_is_repaired_by_a_digest(fleet):
+    lost = next(n for n, p in fleet.planes.items() if not p.topology.is_relay())
+    plane_deliver = fleet.deliver
+
+    def deliver(sender, send):
+        is_tree = isinstance(send.message, ChangePush) and send.message.root
+        if is_tree and fleet.by_address.get(send.address) == lost:
+            return
+        plane_deliver(sender, send)
+
+    fleet.deliver = deliver
+    put(fleet, 1)
+    fleet.step()
+    assert lost not in fleet.installed("night")
+    fleet.run_until(lambda: fleet.all_at("night", 1), 5)
+    assert any(isinstance(m, VersionDigest) for _, _, m in fleet.sent)
+
+
+def test_bad_version_is_reported_by_every_node(fleet):
+    put(fleet, 1)
+    fleet.step()
+    bad = {"services": {}, "routes": {"/x": {"service": "missing"}}}
+    fleet.platform.write(version_of("night", 2, bad))
+    fleet.run(3)
+    assert fleet.all_at("night", 1)
+    for plane in fleet.planes.values():
+        assert [entry.version for entry in plane.versions.refused()] == [2]
+    fleet.sent.clear()
+    fleet.run(5)
+    assert not any(isinstance(m, VersionDigest) for _, _, m in fleet.sent)
+
+
+def test_draining_upstream_is_known_everywhere_at_once(fleet):
+    host = "gogledd-2-a"
+    fleet.carry_out(host, fleet.planes[host].announce([upstream()]))
+    put(fleet, 1)
+    fleet.run(0.4)
+    for plane in fleet.planes.values():
+        assert plane.snapshot.find_route("/standings") is not None
+    fleet.carry_out(host, fleet.planes[host].announce([upstream(draining=True)]))
+    fleet.step()
+    for plane in fleet.planes.values():
+        (location,) = plane.snapshot.clusters["standings"].locations
+        assert location.upstream.draining
+
+
+def test_upstream_vanishes_with_its_node(fleet):
+    host = "gogledd-2-a"
+    fleet.carry_out(host, fleet.planes[host].announce([upstream()]))
+    put(fleet, 1)
+    fleet.run(1)
+    fleet.kill(host)
+    fleet.run(10)
+    for plane in fleet.planes.values():
+        assert plane.snapshot.routes == ()
+        assert plane.snapshot.clusters == {}
+
+
+def test_status_counts_the_nodes_of_every_domain(fleet):
+    put(fleet, 1)
+    fleet.run(2)
+    plane = fleet.planes["de-2-c"]
+    fleet.carry_out("de-2-c", plane.board.collect(fleet.now))
+    fleet.deliver_all()
+    assert plane.board.is_complete(fleet.now)
+    for status in plane.board.collected():
+        assert (status.live, status.current, status.behind) == (3, 3, [])
+        assert status.versions == [1]
+
+
+def test_status_names_a_domain_that_does_not_answer(fleet):
+    cut_domain(fleet)
+    plane = fleet.planes["gogledd-1-a"]
+    fleet.carry_out("gogledd-1-a", plane.board.collect(fleet.now))
+    fleet.deliver_all()
+    assert not plane.board.is_complete(fleet.now)
+    assert plane.board.is_complete(fleet.now + 1)
+    silent = {s.domain for s in plane.board.collected() if s.current == 0}
+    assert silent == {DOMAIN}
