--- /dev/null
+++ b/packages/cyclamentally-node/cyclamentally_node/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the node package."""
--- a/packages/cyclamentally/cyclamentally/members.py
+++ b/packages/cyclamentally/cyclamentally/members.py
@@ -182,7 +182,7 @@
 
     def _leave_domain(self, record):
         nodes = self.by_domain[record.domain]
-        nodes.discard(record.node)
+        nodes.pop(record.node, None)
         if not nodes:
             del self.by_domain[record.domain]
 
@@ -192,7 +192,8 @@
             self.hashes[bucket] ^= hash_record(old)
             self._leave_domain(old)
         self.hashes[bucket] ^= hash_record(member.record)
-        self.by_domain.setdefault(member.record.domain, set()).add(member.node)
+        nodes = self.by_domain.setdefault(member.record.domain, {})
+        nodes[member.node] = None
         self.members[member.node] = member
         if (
             old is None
--- a/packages/cyclamentally/cyclamentally/publishing.py
+++ b/packages/cyclamentally/cyclamentally/publishing.py
@@ -200,17 +200,21 @@
         version = stored.version
         slot = version.version % HISTORY_LENGTH
         key = f"{HISTORY_PREFIX}{version.name}/{slot}"
-        entry = self.platform.read(key)
-        if isinstance(entry, Refused):
-            return entry
         value = self.stored_codec.encode(StoredProfile(version, []))
-        if entry.value.value == value:
-            return Done()
-        written = self.platform.write(key, value, entry.value.revision)
+        outcome = Done()
         # Another operator who replaces the same version keeps the same bytes.
-        if isinstance(written, Refused) and written.kind != Kind.VERSION_CONFLICT:
-            return Refused(Kind.PLATFORM_UNAVAILABLE, written.detail)
-        return Done()
+        for _ in range(WRITE_TRIES):
+            entry = self.platform.read(key)
+            if isinstance(entry, Refused):
+                return entry
+            if entry.value.value == value:
+                return Done()
+            outcome = self.platform.write(key, value, entry.value.revision)
+            if isinstance(outcome, Done):
+                return outcome
+            if outcome.kind == Kind.PLATFORM_UNAVAILABLE:
+                return outcome
+        return Refused(Kind.PLATFORM_UNAVAILABLE, f"{key}: {outcome.detail}")
 
     def _swap(self, version, recent, revision):
         """Write until the outcome is certain.
