Run keyed requests at most once; refuse requests that crash upstreams

Cause: a resent POST could run twice, and a request that crashes upstreams was sent on for ever. Change: an idempotency key has an owner in its home domain, chosen among nodes that had started 10 s before the key was minted; a new owner refuses keys that its predecessor may have run; a minority of a domain grants nothing. A request that was running at the loss of two upstreams is refused on all nodes. Requests end after two lost upstreams. Peers no longer carry writer and operation of a version. Waitress never moves a buffer to a file; bulk requests hold at most half of the threads.

--- a/packages/cyclamentally-node/cyclamentally_node/admission_task.py
+++ b/packages/cyclamentally-node/cyclamentally_node/admission_task.py
@@ -13,6 +13,7 @@
     CountInFlight,
     Finish,
     SnapshotReplaced,
+    SuspectsReplaced,
     Tick,
 )
 
@@ -46,6 +47,7 @@
             Abandon: self._abandon,
             SnapshotReplaced: self._replace,
             CountInFlight: self._count_in_flight,
+            SuspectsReplaced: self._ignore,
             Tick: self._tick,
         }
 
@@ -74,6 +76,9 @@
     def _count_in_flight(self, message):
         return len(self.admission.leases) + len(self.futures)
 
+    def _ignore(self, message):
+        """Suspect requests are refused by the front end."""
+
     def _tick(self, message):
         self._carry_out(self.admission.tick(self.clock()))
 
--- a/packages/cyclamentally-node/cyclamentally_node/control_task.py
+++ b/packages/cyclamentally-node/cyclamentally_node/control_task.py
@@ -6,8 +6,10 @@
 from cyclamentally.effects import (
     ConfigurationChanged,
     Count,
+    DeathRefuted,
     Send,
     StateChanged,
+    SuspectsChanged,
     WatchPlatform,
 )
 from cyclamentally.errors import Done
@@ -15,8 +17,11 @@
     Announce,
     CollectStatus,
     Counted,
+    CrashSeen,
     DescribeNode,
+    MembersReplaced,
     NodeDescription,
+    OwnDeathRefuted,
     PeerReceived,
     PeerSend,
     PlatformState,
@@ -26,6 +31,8 @@
     SetWatch,
     SnapshotReplaced,
     StopNode,
+    SuspectAnswered,
+    SuspectsReplaced,
     Tick,
     Withdraw,
 )
@@ -46,14 +53,16 @@
         Returns the time in seconds.
     sender, platform, meters : pykka.ActorRef
         Tasks that carry out effects.
-    admissions : list of pykka.ActorRef
-        Tasks that take each new snapshot.
+    claims : pykka.ActorRef
+        Task that takes each change of the members.
+    readers : list of pykka.ActorRef
+        Tasks that take each new snapshot and the suspect requests.
     """
 
     use_daemon_thread = True
 
     def __init__(
-        self, plane, announcements, clock, sender, platform, meters, admissions
+        self, plane, announcements, clock, sender, platform, meters, claims, readers
     ):
         super().__init__()
         self.plane = plane
@@ -62,7 +71,9 @@
         self.sender = sender
         self.platform = platform
         self.meters = meters
-        self.admissions = admissions
+        self.claims = claims
+        self.readers = readers
+        self.members_hash = None
         self.waiting = []
         self.seed_slot = None
         self.handlers = {
@@ -76,6 +87,8 @@
             CollectStatus: self._collect,
             DescribeNode: self._describe,
             StopNode: self._stop_node,
+            CrashSeen: self._note_crash,
+            SuspectAnswered: self._clear_suspect,
         }
 
     def on_receive(self, message):
@@ -159,6 +172,13 @@
     def _stop_node(self, message):
         self._carry_out(self.plane.stop())
 
+    def _note_crash(self, message):
+        marks = [message.mark]
+        self._carry_out(self.plane.quarantine.report(marks, self.clock()))
+
+    def _clear_suspect(self, message):
+        self._carry_out(self.plane.quarantine.succeed(message.fingerprint))
+
     def _publish_seed(self):
         """Store this node's address while it is a relay of its domain."""
         own = self.plane.table.own_record
@@ -181,5 +201,25 @@
             elif isinstance(effect, WatchPlatform):
                 self.platform.tell(SetWatch(effect.active))
             elif isinstance(effect, ConfigurationChanged):
-                for task in self.admissions:
-                    task.tell(SnapshotReplaced(self.plane.snapshot))
+                self._tell_readers(SnapshotReplaced(self.plane.snapshot))
+            elif isinstance(effect, SuspectsChanged):
+                self._tell_readers(self._suspects())
+            elif isinstance(effect, DeathRefuted):
+                self.claims.tell(OwnDeathRefuted())
+        self._publish_members()
+
+    def _tell_readers(self, message):
+        for task in self.readers:
+            task.tell(message)
+
+    def _suspects(self):
+        quarantine = self.plane.quarantine
+        return SuspectsReplaced(
+            quarantine.fingerprints("marked"), quarantine.fingerprints("quarantined")
+        )
+
+    def _publish_members(self):
+        """Hand the member records to the claim task when they have changed."""
+        if self.plane.table.hash != self.members_hash:
+            self.members_hash = self.plane.table.hash
+            self.claims.tell(MembersReplaced(self.plane.table.records()))
--- a/packages/cyclamentally-node/cyclamentally_node/events.py
+++ b/packages/cyclamentally-node/cyclamentally_node/events.py
@@ -221,3 +221,80 @@
     """Return the number of requests that hold or await a slot."""
 
     __slots__ = ()
+
+
+class AskClaim(Record):
+    """Ask for an idempotency key; ``future`` gets the `Verdict`."""
+
+    __slots__ = ("key", "fingerprint", "ticket", "allowed_ms", "future")
+
+    def __init__(self, key, fingerprint, ticket, allowed_ms, future):
+        self.key = key
+        self.fingerprint = fingerprint
+        self.ticket = ticket
+        self.allowed_ms = allowed_ms
+        self.future = future
+
+
+class ReportClaim(Record):
+    """Tell the owner of a key how a try ended."""
+
+    __slots__ = ("key", "ticket", "outcome", "answer")
+
+    def __init__(self, key, ticket, outcome, answer):
+        self.key = key
+        self.ticket = ticket
+        self.outcome = outcome
+        self.answer = answer
+
+
+class ForgetClaim(Record):
+    """A try was refused and will have no result."""
+
+    __slots__ = ("ticket",)
+
+    def __init__(self, ticket):
+        self.ticket = ticket
+
+
+class MembersReplaced(Record):
+    """The member records have changed."""
+
+    __slots__ = ("records",)
+
+    def __init__(self, records):
+        self.records = records
+
+
+class OwnDeathRefuted(Record):
+    """Others had declared this node dead."""
+
+    __slots__ = ()
+
+
+class CrashSeen(Record):
+    """An upstream was lost while it ran a request; ``mark`` names both."""
+
+    __slots__ = ("mark",)
+
+    def __init__(self, mark):
+        self.mark = mark
+
+
+class SuspectAnswered(Record):
+    """A marked request was answered."""
+
+    __slots__ = ("fingerprint",)
+
+    def __init__(self, fingerprint):
+        self.fingerprint = fingerprint
+
+
+class SuspectsReplaced(Record):
+    """The marked and the quarantined requests, as sets of fingerprints."""
+
+    __slots__ = ("marked", "quarantined")
+
+    def __init__(self, marked, quarantined):
+        self.marked = marked
+        self.quarantined = quarantined
--- a/packages/cyclamentally-node/cyclamentally_node/exchange.py
+++ b/packages/cyclamentally-node/cyclamentally_node/exchange.py
@@ -1,6 +1,9 @@
 """A request of a caller and the answer to it, as the front end sees them."""
 
+from urllib.parse import quote
+
 from cyclamentally.errors import Done, Kind, Refused
+from cyclamentally.quarantine import fingerprint_of
 from cyclamentally.records import Record
 
 IDEMPOTENT_METHODS = {"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"}
@@ -19,6 +22,8 @@
 RAN_HEADER = "Cyclamentally-Ran"
 REASON_HEADER = "Cyclamentally-Reason"
 RETRIED_HEADER = "Cyclamentally-Retried"
+REPEATED_HEADER = "Cyclamentally-Repeated"
+KEY_HEADER = "Idempotency-Key"
 
 
 class CallerRequest(Record):
@@ -36,9 +41,17 @@
         Time that the caller gives, ms.
     """
 
-    __slots__ = ("method", "target", "headers", "body", "deadline_ms")
+    __slots__ = (
+        "method",
+        "target",
+        "headers",
+        "body",
+        "deadline_ms",
+        "fingerprint",
+    )
 
     def __init__(self, method, target, headers, body, deadline_ms):
+        self.fingerprint = fingerprint_of(method, target, body)
         self.method = method
         self.target = target
         self.headers = headers
@@ -50,6 +63,17 @@
         """Whether the request may run more than once."""
         return self.method in IDEMPOTENT_METHODS
 
+    @property
+    def key(self):
+        """Idempotency key; empty if there is none."""
+        return self.headers.get(KEY_HEADER, "")
+
+    def allowed_ms(self, timeout_ms):
+        """Return the time for the request, given that of the service, in ms."""
+        if self.deadline_ms is None:
+            return timeout_ms
+        return min(timeout_ms, self.deadline_ms)
+
 
 class UpstreamAnswer(Record):
     """The answer of an upstream.
@@ -95,8 +119,7 @@
     if deadline is not None and not (deadline.isascii() and deadline.isdigit()):
         return Refused(Kind.BAD_REQUEST, f"{DEADLINE_HEADER}: not a whole number")
     query = environ.get("QUERY_STRING")
-    target = environ["PATH_INFO"].encode("latin-1", "replace").decode("latin-1")
-    target = _quote(target) + (f"?{query}" if query else "")
+    target = _quote(environ["PATH_INFO"]) + (f"?{query}" if query else "")
     return Done(
         CallerRequest(
             environ["REQUEST_METHOD"],
@@ -137,6 +160,4 @@
 
 
 def _quote(path):
-    from urllib.parse import quote
-
     return quote(path, safe="/:@!$&'()*+,;=~-._%", encoding="latin-1")
--- a/packages/cyclamentally-node/cyclamentally_node/node.py
+++ b/packages/cyclamentally-node/cyclamentally_node/node.py
@@ -6,18 +6,21 @@
 
 from cyclamentally_platform.client import HttpPlatform
 from cyclamentally_platform.stored import JsonStoredCodec
-from pykka import ThreadingActor
 from waitress import create_server
 
 from cyclamentally.admission import Admission
 from cyclamentally.announcements import Announcements
 from cyclamentally.bodies import JsonBodyCodec
+from cyclamentally.claims import Claimant
 from cyclamentally.control import TICK_S, ControlPlane, Identity
 from cyclamentally.effects import Count
+from cyclamentally.idempotency import KeyOwner
+from cyclamentally.messages import Summary
 from cyclamentally.records import Record
 from cyclamentally.routing import NearestChooser
 from cyclamentally_node.admin import Admin
 from cyclamentally_node.admission_task import AdmissionTask
+from cyclamentally_node.claim_task import ClaimTask
 from cyclamentally_node.connections import ConnectionPool
 from cyclamentally_node.control_task import ControlTask
 from cyclamentally_node.events import (
@@ -26,47 +29,34 @@
     CountInFlight,
     DescribeNode,
     ReadSeeds,
-    SnapshotReplaced,
     StopNode,
 )
-from cyclamentally_node.front import Front
+from cyclamentally_node.front import Front, FrontView
+from cyclamentally_node.keyed import KeyedRunner
 from cyclamentally_node.meters import Meters
 from cyclamentally_node.peers import PeerReceiver, PeerSender
 from cyclamentally_node.platform_task import PlatformTask
+from cyclamentally_node.runner import RequestRunner
 from cyclamentally_node.settings import split_address
 from cyclamentally_node.ticker import Ticker
 from cyclamentally_node.upstream_client import UpstreamClient
+from cyclamentally_node.watcher import FrontWatcher
 
 ADMIN_THREADS = 2
 MS = 1_000
 DRAIN_CHECK_S = 0.05
 READY_CHECK_S = 0.1
 CONNECTION_LIMIT = 512
+IDLE_CALLER_S = 60
+ADMIN_BODY_BYTES = 10_000
+OUTPUT_BYTES = 1_000_000
+# Hosts have no disks, so waitress must never move a buffer to a file.
+NO_FILE_BYTES = 1 << 40
 
 
-class FrontWatcher(ThreadingActor):
-    """Hand each new snapshot to the front end and its connection pool.
-
-    Parameters
-    ----------
-    front : Front
-        Reads the snapshot once for each request.
-    """
-
-    use_daemon_thread = True
-
-    def __init__(self, front):
-        super().__init__()
-        self.front = front
-
-    def on_receive(self, message):
-        """Handle `SnapshotReplaced`."""
-        if not isinstance(message, SnapshotReplaced):
-            return
-        self.front.snapshot = message.snapshot
-        clusters = message.snapshot.clusters.values()
-        addresses = [l.upstream.address for c in clusters for l in c.locations]
-        self.front.client.pool.close_unused(addresses)
+def choose_nearest(settings, random):
+    """Return the chooser of the product."""
+    return NearestChooser(settings.node_domain, settings.node_region, random)
 
 
 class NodeParts(Record):
@@ -80,14 +70,23 @@
         Task that sends to peers.
     platform : type
         Client of the platform.
+    make_chooser : callable
+        Takes the settings and the random numbers, returns a `Chooser`.
     """
 
-    __slots__ = ("plane", "sender", "platform")
+    __slots__ = ("plane", "sender", "platform", "make_chooser")
 
-    def __init__(self, plane=ControlPlane, sender=PeerSender, platform=HttpPlatform):
+    def __init__(
+        self,
+        plane=ControlPlane,
+        sender=PeerSender,
+        platform=HttpPlatform,
+        make_chooser=choose_nearest,
+    ):
         self.plane = plane
         self.sender = sender
         self.platform = platform
+        self.make_chooser = make_chooser
 
 
 class Node:
@@ -104,52 +103,34 @@
     __slots__ = (
         "admin_server",
         "admission",
+        "claims",
         "control",
-        "front",
         "front_server",
         "meters",
         "parts",
         "platform",
+        "pool",
+        "random",
         "receiver",
         "sender",
-        "servers",
         "settings",
+        "started_ms",
         "stopped",
         "ticker",
+        "view",
         "watcher",
     )
 
     def __init__(self, settings, parts=None):
         self.settings = settings
         self.parts = parts or NodeParts()
+        self.random = Random()
+        self.started_ms = int(time() * MS)
         self.stopped = Event()
-        self.servers = []
-        random = Random()
-        self.meters = Meters.start()
-        self.sender = self.parts.sender.start(settings.node_region, self.meters)
-        self.admission = self._start_admission(random)
-        pool = ConnectionPool(monotonic)
-        client = UpstreamClient(pool, monotonic)
-        self.front = Front(
-            self.admission,
-            self.meters,
-            client,
-            settings.calls_max_body_bytes,
-            monotonic,
-        )
-        self.watcher = FrontWatcher.start(self.front)
-        self.platform = self._start_platform()
-        self.control = self._start_control(random)
-        self.receiver = PeerReceiver.start(
-            settings.listen_peers, settings.node_region, self.control, self.meters
-        )
-        self.ticker = Ticker(TICK_S, [self.control, self.admission])
-        self.front_server = self._server(
-            self.front, settings.listen_calls, settings.calls_threads
-        )
-        self.admin_server = self._server(
-            Admin(self.control, self.meters), settings.listen_admin, ADMIN_THREADS
-        )
+        self.view = FrontView()
+        self.pool = ConnectionPool(monotonic)
+        self._start_tasks()
+        self._create_servers()
 
     def start(self):
         """Join the members and serve as soon as the configuration is whole."""
@@ -157,14 +138,12 @@
         self.platform.tell(ReadSeeds())
         self.ticker.start()
         for server in (self.front_server, self.admin_server):
-            thread = Thread(target=server.run, daemon=True)
-            thread.start()
-            self.servers.append(thread)
+            Thread(target=server.run, daemon=True).start()
         Thread(target=self._await_ready, daemon=True).start()
 
     def close(self):
         """Refuse new requests, finish those in flight, then stop all tasks."""
-        self.front.is_stopping = True
+        self.view.is_stopping = True
         self.stopped.set()
         self.control.ask(StopNode())
         self._drain()
@@ -173,12 +152,27 @@
             server.close()
         for task in (self.receiver, self.platform, self.control, self.sender):
             task.stop(block=False)
-        self.front.client.pool.close()
+        self.pool.close()
 
-    def _start_admission(self, random):
+    def _start_tasks(self):
         settings = self.settings
-        chooser = NearestChooser(settings.node_domain, settings.node_region, random)
-        return AdmissionTask.start(Admission(chooser), monotonic, self.meters)
+        self.meters = Meters.start()
+        self.sender = self.parts.sender.start(settings.node_region, self.meters)
+        chooser = self.parts.make_chooser(settings, self.random)
+        admission = Admission(chooser, max(1, settings.calls_threads // 2))
+        self.admission = AdmissionTask.start(admission, monotonic, self.meters)
+        self.watcher = FrontWatcher.start(self.view, self.pool)
+        self.platform = self._start_platform()
+        self.claims = self._start_claims()
+        self.control = self._start_control()
+        self.receiver = PeerReceiver.start(
+            settings.listen_peers,
+            settings.node_region,
+            self.control,
+            self.claims,
+            self.meters,
+        )
+        self.ticker = Ticker(TICK_S, [self.control, self.admission, self.claims])
 
     def _start_platform(self):
         settings = self.settings
@@ -196,21 +190,31 @@
             self.meters,
         )
 
-    def _start_control(self, random):
+    def _start_claims(self):
+        settings = self.settings
+        owner = KeyOwner(
+            settings.node_name, settings.node_domain, self._sign, self.started_ms
+        )
+        claimant = Claimant(owner, self._sign)
+        return ClaimTask.start(
+            claimant, lambda: int(time() * MS), self.sender, self.meters
+        )
+
+    def _start_control(self):
         settings = self.settings
         identity = Identity(
             settings.node_name,
             settings.node_domain,
             settings.node_region,
             settings.listen_peers,
-            int(time() * MS),
+            self.started_ms,
         )
         plane = self.parts.plane(
             identity,
             settings.platform_region,
             settings.peers_seeds,
             JsonBodyCodec(),
-            random,
+            self.random,
             monotonic(),
         )
         return ControlTask.start(
@@ -220,27 +224,47 @@
             self.sender,
             self.platform,
             self.meters,
+            self.claims,
             [self.admission, self.watcher],
         )
 
-    def _server(self, application, address, threads):
-        host, port = split_address(address)
-        return create_server(
-            application,
-            host=host,
-            port=port,
-            threads=threads,
-            connection_limit=CONNECTION_LIMIT,
-            clear_untrusted_proxy_headers=True,
-            channel_request_lookahead=1,
-            ident=None,
+    def _create_servers(self):
+        settings = self.settings
+        client = UpstreamClient(self.pool, monotonic)
+        runner = RequestRunner(
+            self.admission, self.control, self.meters, client, monotonic
+        )
+        keyed = KeyedRunner(self.claims, runner)
+        max_body = settings.calls_max_body_bytes
+        front = Front(self.view, runner, keyed, self.meters, max_body)
+        self.front_server = make_server(
+            front, settings.listen_calls, settings.calls_threads, max_body
+        )
+        self.admin_server = make_server(
+            Admin(self.control, self.meters),
+            settings.listen_admin,
+            ADMIN_THREADS,
+            ADMIN_BODY_BYTES,
+        )
+
+    def _sign(self):
+        """Return a summary that names this node and leaves out its hashes."""
+        settings = self.settings
+        return Summary(
+            settings.node_name,
+            settings.listen_peers,
+            settings.node_region,
+            0,
+            0,
+            0,
+            False,
         )
 
     def _await_ready(self):
         """Let requests in once the node life says so."""
         while not self.stopped.wait(READY_CHECK_S):
             if self.control.ask(DescribeNode()).state == "serving":
-                self.front.is_ready = True
+                self.view.is_ready = True
                 return
 
     def _drain(self):
@@ -263,3 +287,35 @@
             Count("peer_bytes_received_total", f"{far}>{near}", received, "platform"),
         ]
         self.meters.tell(Counted(counts))
+
+
+def make_server(application, address, threads, max_body):
+    """Return a waitress server.
+
+    Parameters
+    ----------
+    application : callable
+        WSGI application.
+    address : str
+        ``IP:port`` to listen on.
+    threads : int
+        Requests handled at once.
+    max_body : int
+        Largest request body in bytes.
+    """
+    host, port = split_address(address)
+    return create_server(
+        application,
+        host=host,
+        port=port,
+        threads=threads,
+        connection_limit=CONNECTION_LIMIT,
+        channel_timeout=IDLE_CALLER_S,
+        clear_untrusted_proxy_headers=True,
+        channel_request_lookahead=1,
+        max_request_body_size=max_body + 1,
+        inbuf_overflow=NO_FILE_BYTES,
+        outbuf_overflow=NO_FILE_BYTES,
+        outbuf_high_watermark=OUTPUT_BYTES,
+        ident=None,
+    )
--- a/packages/cyclamentally-node/cyclamentally_node/peer_codec.py
+++ b/packages/cyclamentally-node/cyclamentally_node/peer_codec.py
@@ -7,7 +7,7 @@
 from msgspec.msgpack import decode, encode
 
 from cyclamentally.errors import Done, Kind, Refused
-from cyclamentally.messages import MESSAGE_TYPES
+from cyclamentally.message_types import MESSAGE_TYPES
 from cyclamentally.records import Record
 
 PLAIN = b"p"
--- a/packages/cyclamentally-node/cyclamentally_node/peers.py
+++ b/packages/cyclamentally-node/cyclamentally_node/peers.py
@@ -9,6 +9,7 @@
 
 from cyclamentally.effects import Count
 from cyclamentally.errors import Refused
+from cyclamentally_node.claim_task import CLAIM_MESSAGES
 from cyclamentally_node.events import Counted, PeerReceived, PeerSend, Receive
 from cyclamentally_node.peer_codec import (
     MAX_MESSAGE_BYTES,
@@ -34,18 +35,19 @@
         ``IP:port`` to listen on.
     region : str
         Region of this node.
-    control : pykka.ActorRef
-        Receiver of the messages.
+    control, claims : pykka.ActorRef
+        Receivers of the messages.
     meters : pykka.ActorRef
         Receiver of the counts.
     """
 
     use_daemon_thread = True
 
-    def __init__(self, address, region, control, meters):
+    def __init__(self, address, region, control, claims, meters):
         super().__init__()
         self.region = region
         self.control = control
+        self.claims = claims
         self.meters = meters
         self.socket = Pull0(recv_timeout=RECEIVE_TIMEOUT_MS)
         self.socket.recv_max_size = MAX_MESSAGE_BYTES
@@ -84,7 +86,9 @@
         kind = type(message).__name__
         count = Count("peer_bytes_received_total", pair, len(data), kind)
         self.meters.tell(Counted([count]))
-        self.control.tell(PeerReceived(message, len(data)))
+        is_claim = isinstance(message, CLAIM_MESSAGES)
+        receiver = self.claims if is_claim else self.control
+        receiver.tell(PeerReceived(message, len(data)))
 
 
 class PeerSender(ThreadingActor):
--- a/packages/cyclamentally-node/cyclamentally_node/upstream_client.py
+++ b/packages/cyclamentally-node/cyclamentally_node/upstream_client.py
@@ -180,5 +180,6 @@
         return None
     if response.headers.get(RAN_HEADER) != "no":
         return None
-    wait = 1.0 if RETRIED_HEADER in response.headers else None
-    return Refused(Kind.UPSTREAM_OVERLOADED, f"{address} sheds load", wait)
+    is_final = RETRIED_HEADER in response.headers
+    detail = f"{address} sheds load"
+    return Refused(Kind.UPSTREAM_OVERLOADED, detail, is_final=is_final)
--- a/packages/cyclamentally/cyclamentally/admission.py
+++ b/packages/cyclamentally/cyclamentally/admission.py
@@ -209,12 +209,17 @@
     ----------
     chooser : Chooser
         Choice among upstreams with room.
+    max_bulk : int
+        Bulk requests that may hold or await a slot at once on this node, so
+        that lookups always find a thread.
     """
 
-    __slots__ = ("chooser", "desks", "leases", "snapshot")
+    __slots__ = ("bulk", "chooser", "desks", "leases", "max_bulk", "snapshot")
 
-    def __init__(self, chooser):
+    def __init__(self, chooser, max_bulk=1_000):
         self.chooser = chooser
+        self.max_bulk = max_bulk
+        self.bulk = set()
         self.desks = {}
         self.leases = {}
         self.snapshot = EMPTY_SNAPSHOT
@@ -245,6 +250,8 @@
             return self._deny(call, Kind.NO_UPSTREAM, "no upstream takes requests")
         if now >= call.deadline:
             return self._deny(call, Kind.DEADLINE_EXCEEDED, "deadline is over")
+        if call.call_class == BULK and len(self.bulk) >= self.max_bulk:
+            return self._deny(call, Kind.QUEUE_FULL, "too many bulk requests")
         if not desk.pay(call.attempt):
             return self._deny(call, Kind.RETRY_BUDGET_SPENT, "too many retries")
         endpoint = desk.find_room(call, now)
@@ -253,6 +260,8 @@
         refusal = desk.enqueue(call, now)
         if refusal is not None:
             return self._deny(call, refusal.kind, refusal.detail)
+        if call.call_class == BULK:
+            self.bulk.add(call.number)
         return []
 
     def finish(self, number, outcome, now):
@@ -275,6 +284,7 @@
         lease = self.leases.pop(number, None)
         if lease is None:
             return []
+        self.bulk.discard(number)
         endpoint = lease.endpoint
         endpoint.in_flight -= 1
         endpoint.bulk_in_flight -= lease.is_bulk
@@ -285,6 +295,7 @@
         """Forget a queued request."""
         for desk in self.desks.values():
             if desk.remove(number):
+                self.bulk.discard(number)
                 return [Count("requests_refused_total", Kind.CANCELLED)]
         return []
 
@@ -305,10 +316,13 @@
         is_bulk = call.call_class == BULK
         endpoint.in_flight += 1
         endpoint.bulk_in_flight += is_bulk
+        if is_bulk:
+            self.bulk.add(call.number)
         self.leases[call.number] = Lease(call.service, endpoint, is_bulk)
         return [Granted(call.number, endpoint.location)]
 
     def _deny(self, call, kind, detail):
+        self.bulk.discard(call.number)
         refusal = Refused(kind, f"{call.service}: {detail}")
         return [Denied(call.number, refusal)]
 
--- /dev/null
+++ b/packages/cyclamentally/cyclamentally/claims.py
@@ -0,0 +1,112 @@
+"""The side of a node that asks owners of idempotency keys."""
+
+from cyclamentally.call_messages import ClaimRequest
+from cyclamentally.effects import Send
+from cyclamentally.errors import Kind, Refused
+from cyclamentally.idempotency import Verdict, result_message
+from cyclamentally.keys import find_owner, parse_key
+from cyclamentally.records import Record
+
+
+class Judged(Record):
+    """Effect: the verdict on a claim is known.
+
+    Parameters
+    ----------
+    ticket : str
+        Identifies the try.
+    verdict : Verdict
+        What the owner decided.
+    """
+
+    __slots__ = ("ticket", "verdict")
+
+    def __init__(self, ticket, verdict):
+        self.ticket = ticket
+        self.verdict = verdict
+
+
+class Claimant:
+    """Ask the owners of keys; report results to them.
+
+    Parameters
+    ----------
+    owner : KeyOwner
+        Decisions for the keys that this node owns itself.
+    summarize : callable
+        Returns the `Summary` of this node.
+    """
+
+    __slots__ = ("asked", "owner", "summarize")
+
+    def __init__(self, owner, summarize):
+        self.owner = owner
+        self.summarize = summarize
+        self.asked = {}
+
+    def ask(self, key, fingerprint, ticket, allowed_ms, now_ms):
+        """Ask for a key.
+
+        Parameters
+        ----------
+        key : str
+            Idempotency key.
+        fingerprint : int
+            Hash of the request.
+        ticket : str
+            Identifies this try.
+        allowed_ms : int
+            Longest time of the request, ms.
+        now_ms : int
+            Time in ms since the epoch.
+
+        Returns
+        -------
+        list
+            `Judged`, or `Send` if the verdict comes from another node.
+        """
+        parsed = parse_key(key, now_ms)
+        if isinstance(parsed, Refused):
+            return [Judged(ticket, Verdict(parsed.kind, parsed.detail))]
+        record = find_owner(parsed.value, self.owner.records.values())
+        if record is None:
+            verdict = Verdict(Kind.OWNER_UNREACHABLE, "no node owns the key yet")
+            return [Judged(ticket, verdict)]
+        request = ClaimRequest(self.summarize(), key, fingerprint, ticket, allowed_ms)
+        self.asked[ticket] = record
+        if record.node == self.owner.node:
+            return [Judged(ticket, self.owner.claim(request, now_ms))]
+        return [Send(record.address, record.region, request)]
+
+    def on_reply(self, reply):
+        """Pass on the verdict of an owner."""
+        if reply.ticket not in self.asked:
+            return []
+        verdict = Verdict(reply.kind, reply.detail, reply.answer)
+        return [Judged(reply.ticket, verdict)]
+
+    def report(self, key, ticket, outcome, answer, now_ms):
+        """Tell the owner how a try ended.
+
+        Parameters
+        ----------
+        key, ticket : str
+            What was asked for.
+        outcome : str
+            ``answered``, ``not_run`` or ``unknown``.
+        answer : KeptAnswer or None
+            Answer to keep.
+        now_ms : int
+            Time in ms since the epoch.
+        """
+        record = self.asked.pop(ticket, None)
+        if record is None:
+            return []
+        message = result_message(self.summarize(), key, ticket, outcome, answer)
+        if record.node == self.owner.node:
+            return self.owner.on_result(message, now_ms)
+        return [Send(record.address, record.region, message)]
+
+    def forget(self, ticket):
+        """Forget a try that was refused."""
+        self.asked.pop(ticket, None)
--- a/packages/cyclamentally/cyclamentally/control.py
+++ b/packages/cyclamentally/cyclamentally/control.py
@@ -1,5 +1,6 @@
 """All control decisions of one node behind one object."""
 
+from cyclamentally.call_messages import CrashMarks
 from cyclamentally.distribution import Distribution
 from cyclamentally.effects import ConfigurationChanged, Count
 from cyclamentally.errors import Kind
@@ -27,6 +28,7 @@
 )
 from cyclamentally.model import MemberRecord
 from cyclamentally.probes import Prober
+from cyclamentally.quarantine import Quarantine
 from cyclamentally.records import Record
 from cyclamentally.relays import Relay
 from cyclamentally.reports import Reporter, StatusBoard
@@ -49,7 +51,7 @@
     address : str
         Peer address, ``IP:port``.
     incarnation : int
-        First incarnation; a restarted node takes a higher one.
+        Start of the process in ms since the epoch, and first incarnation.
     """
 
     __slots__ = ("node", "domain", "region", "address", "incarnation")
@@ -91,6 +93,7 @@
         "life",
         "membership",
         "prober",
+        "quarantine",
         "relay",
         "reporter",
         "snapshot",
@@ -112,6 +115,7 @@
         self.reporter = Reporter(self.versions, *shared, random, now)
         self.board = StatusBoard(self.versions, *shared)
         self.life = NodeLife(self.membership, self.distribution, seeds, random, now)
+        self.quarantine = Quarantine(*shared)
         self.snapshot = EMPTY_SNAPSHOT
         self.handlers = self._handlers()
 
@@ -135,6 +139,7 @@
         effects += self.relay.tick(now)
         effects += self.distribution.tick(now)
         effects += self.reporter.tick(now)
+        effects += self.quarantine.tick(now)
         return self._settle(effects)
 
     def receive(self, message, now):
@@ -211,6 +216,7 @@
             ChangePush: self.distribution.on_push,
             VersionDigest: self.distribution.on_digest,
             Busy: self.distribution.on_busy,
+            CrashMarks: self.quarantine.on_marks,
             Report: lambda m, now: self.board.on_report(m),
             StatusRequest: lambda m, now: self.board.on_request(m),
             StatusReply: lambda m, now: self.board.on_reply(m),
@@ -226,4 +232,5 @@
         identity.region,
         identity.address,
         [],
+        identity.incarnation,
     )
--- a/packages/cyclamentally/cyclamentally/effects.py
+++ b/packages/cyclamentally/cyclamentally/effects.py
@@ -88,3 +88,15 @@
 
     def __init__(self, active):
         self.active = active
+
+
+class DeathRefuted(Record):
+    """Others had declared this node dead, and it has refuted them."""
+
+    __slots__ = ()
+
+
+class SuspectsChanged(Record):
+    """The marked or quarantined requests have changed."""
+
+    __slots__ = ()
--- a/packages/cyclamentally/cyclamentally/errors.py
+++ b/packages/cyclamentally/cyclamentally/errors.py
@@ -132,11 +132,14 @@
     wait : float or None
         Wait before the next attempt in seconds, where the kind's own wait
         does not apply.
+    is_final : bool
+        Whether a node further on has already spent the retries.
     """
 
     kind: Kind
     detail: str
     wait: float | None = None
+    is_final: bool = False
 
     @property
     def answer(self):
--- /dev/null
+++ b/packages/cyclamentally/cyclamentally/idempotency.py
@@ -0,0 +1,342 @@
+"""Ownership of idempotency keys: every keyed request runs at most once."""
+
+from collections import OrderedDict
+
+from cyclamentally.call_messages import ClaimReply, ClaimResult
+from cyclamentally.chart import runs_chart
+from cyclamentally.effects import Count, Send
+from cyclamentally.errors import Kind, Refused
+from cyclamentally.keys import (
+    SKEW_MS,
+    WINDOW_MS,
+    IdempotencyKey,
+    find_owner,
+    parse_key,
+)
+from cyclamentally.members import DEAD, is_live
+from cyclamentally.model import KeptAnswer
+from cyclamentally.records import Record
+
+HANDOVER_MS = 8_000
+RESULT_MARGIN_MS = 1_000
+MAX_KEYS = 20_000
+MAX_KEPT_BYTES = 1_000_000
+MAX_ANSWER_BYTES = 4_096
+DEPARTED_MS = 600_000
+
+GRANTED = "granted"
+REPEATED = "repeated"
+
+
+class Claiming(Record):
+    """A claim together with what the owner's decisions need.
+
+    Parameters
+    ----------
+    ticket : str
+        Identifies the try of one node.
+    fingerprint : int
+        Hash of the request; a key stands for one request.
+    due_ms : int
+        Time at which the result is overdue.
+    answer : KeptAnswer or None
+        Answer of the upstream, in a result.
+    """
+
+    __slots__ = ("ticket", "fingerprint", "due_ms", "answer")
+
+    def __init__(self, ticket, fingerprint=0, due_ms=0, answer=None):
+        self.ticket = ticket
+        self.fingerprint = fingerprint
+        self.due_ms = due_ms
+        self.answer = answer
+
+
+class Verdict(Record):
+    """The owner's word on a claim.
+
+    Parameters
+    ----------
+    kind : str
+        ``granted``, ``repeated`` or a kind of refusal.
+    detail : str
+        One line for a person.
+    answer : KeptAnswer or None
+        Answer to repeat.
+    """
+
+    __slots__ = ("kind", "detail", "answer")
+
+    def __init__(self, kind, detail="", answer=None):
+        self.kind = kind
+        self.detail = detail
+        self.answer = answer
+
+
+class Departure(Record):
+    """The last live record of a node that has gone, and when it went."""
+
+    __slots__ = ("record", "departed_ms")
+
+    def __init__(self, record, departed_ms):
+        self.record = record
+        self.departed_ms = departed_ms
+
+
+@runs_chart("claim")
+class Claim:
+    """One key at its owner; runs the chart ``claim``.
+
+    Parameters
+    ----------
+    key : IdempotencyKey
+        The key.
+    """
+
+    __slots__ = ("answer", "due_ms", "fingerprint", "key", "state", "ticket")
+
+    def __init__(self, key):
+        self.key = key
+        self.state = self.chart.initial
+        self.ticket = ""
+        self.fingerprint = 0
+        self.due_ms = 0
+        self.answer = None
+
+    def fire(self, event, claiming):
+        """Run an event and return the verdicts."""
+        return self.chart.fire(self, event, claiming)
+
+    def is_same_request(self, claiming):
+        """Whether the key was used for this very request."""
+        return claiming.fingerprint == self.fingerprint
+
+    def is_holder(self, claiming):
+        """Whether the result comes from the node that was granted the key."""
+        return claiming.ticket == self.ticket
+
+    def grant(self, claiming):
+        """Hand the key to a node."""
+        self.ticket = claiming.ticket
+        self.fingerprint = claiming.fingerprint
+        self.due_ms = claiming.due_ms
+        return [Verdict(GRANTED)]
+
+    def keep_answer(self, claiming):
+        """Keep the answer for resends."""
+        self.answer = claiming.answer
+
+    def say_in_progress(self, claiming):
+        """Refuse a resend while the request runs."""
+        return [Verdict(Kind.KEY_IN_PROGRESS, "the request is running")]
+
+    def say_reused(self, claiming):
+        """Refuse a key that stands for another request."""
+        return [Verdict(Kind.KEY_REUSED, "the key belongs to another request")]
+
+    def say_unknown(self, claiming):
+        """Refuse a request of which nobody knows whether it ran."""
+        return [Verdict(Kind.OUTCOME_UNKNOWN, "nobody knows whether it ran")]
+
+    def say_answer(self, claiming):
+        """Repeat the answer, if it was small enough to be kept."""
+        if self.answer is None:
+            return [Verdict(Kind.OUTCOME_UNKNOWN, "it ran; its answer is not kept")]
+        return [Verdict(REPEATED, "", self.answer)]
+
+
+class KeyOwner:
+    """Decide on claims for the keys that this node owns.
+
+    Parameters
+    ----------
+    node, domain : str
+        This node and its failure domain.
+    summarize : callable
+        Returns the `Summary` of this node.
+    started_ms : int
+        Start of this node, in ms since the epoch.
+    """
+
+    __slots__ = (
+        "claims",
+        "departed",
+        "domain",
+        "floor_ms",
+        "kept_bytes",
+        "node",
+        "records",
+        "summarize",
+    )
+
+    def __init__(self, node, domain, summarize, started_ms):
+        self.node = node
+        self.domain = domain
+        self.summarize = summarize
+        self.floor_ms = started_ms
+        self.claims = OrderedDict()
+        self.kept_bytes = 0
+        self.records = {}
+        self.departed = {}
+
+    def update(self, records, now_ms):
+        """Take over the members; note who has departed and when.
+
+        Parameters
+        ----------
+        records : list of MemberRecord
+            Members of all domains.
+        now_ms : int
+            Time in ms since the epoch.
+        """
+        for record in records:
+            if record.domain == self.domain:
+                self._note_change(record, now_ms)
+        self.records = {record.node: record for record in records}
+
+    def refuted(self, now_ms):
+        """Note that others had declared this node dead.
+
+        Another node may have owned its keys meanwhile.
+        """
+        self.floor_ms = max(self.floor_ms, now_ms + HANDOVER_MS + SKEW_MS)
+
+    def on_request(self, request, now_ms):
+        """Answer a `ClaimRequest`."""
+        verdict = self.claim(request, now_ms)
+        reply = ClaimReply(
+            self.summarize(),
+            request.ticket,
+            str(verdict.kind),
+            verdict.detail,
+            verdict.answer,
+        )
+        effects = [Send(request.sender.address, request.sender.region, reply)]
+        if verdict.kind not in (GRANTED, REPEATED):
+            effects.append(Count("claims_refused_total", str(verdict.kind)))
+        return effects
+
+    def claim(self, request, now_ms):
+        """Return the `Verdict` on a `ClaimRequest`."""
+        parsed = parse_key(request.key, now_ms)
+        if isinstance(parsed, Refused):
+            return Verdict(parsed.kind, parsed.detail)
+        key = parsed.value
+        claiming = Claiming(
+            request.ticket,
+            request.fingerprint,
+            now_ms + request.allowed_ms + RESULT_MARGIN_MS,
+        )
+        claim = self.claims.get(key.text)
+        if claim is None:
+            refusal = self._check_tenure(key)
+            if refusal is not None:
+                return refusal
+            claim = self._add(key)
+        return claim.fire("claim", claiming)[0]
+
+    def on_result(self, result, now_ms):
+        """Take in a `ClaimResult`."""
+        claim = self.claims.get(result.key)
+        if claim is None:
+            return []
+        answer = result.answer
+        if answer is not None and not self._may_keep(answer):
+            answer = None
+        before = claim.answer
+        claim.fire(result.outcome, Claiming(result.ticket, answer=answer))
+        if claim.answer is not before:
+            self.kept_bytes += _size_of(claim.answer)
+        return []
+
+    def tick(self, now_ms):
+        """Give up overdue results and forget keys beyond the window."""
+        oldest = now_ms - WINDOW_MS - SKEW_MS
+        for claim in list(self.claims.values()):
+            if claim.key.minted_ms < oldest:
+                self._remove(claim)
+            elif claim.state == "running" and now_ms >= claim.due_ms:
+                claim.fire("overdue", None)
+        for name, departure in list(self.departed.items()):
+            if now_ms - departure.departed_ms > DEPARTED_MS:
+                del self.departed[name]
+        return []
+
+    def _note_change(self, record, now_ms):
+        known = self.records.get(record.node)
+        if known is None or not is_live(known) or known.node == self.node:
+            return
+        # A replaced process has the name but not the memory.
+        if not is_live(record) or record.started_ms != known.started_ms:
+            name = f"{known.node}/{known.started_ms}"
+            self.departed[name] = Departure(known, now_ms)
+
+    def _check_tenure(self, key):
+        """Return a refusal unless this node has owned the key all along."""
+        owner = find_owner(key, self.records.values())
+        if owner is None or owner.node != self.node:
+            return Verdict(Kind.OWNER_UNREACHABLE, "this node does not own the key")
+        if self._is_minority():
+            detail = "most of the failure domain cannot be reached"
+            return Verdict(Kind.OWNER_UNREACHABLE, detail)
+        if key.minted_ms <= self._tenure_ms(key):
+            return Verdict(Kind.OUTCOME_UNKNOWN, "the key has changed its owner")
+        return None
+
+    def _tenure_ms(self, key):
+        """Return the time from which keys like this one are known here."""
+        tenure = self.floor_ms
+        own = self.records[self.node]
+        home = IdempotencyKey(key.text, self.domain, key.minted_ms)
+        for departure in self.departed.values():
+            if find_owner(home, [own, departure.record]) is not own:
+                known_ms = departure.departed_ms + HANDOVER_MS + SKEW_MS
+                tenure = max(tenure, known_ms)
+        return tenure
+
+    def _is_minority(self):
+        own = [r for r in self.records.values() if r.domain == self.domain]
+        live = sum(is_live(record) for record in own)
+        departed = {departure.record.node for departure in self.departed.values()}
+        lost = sum(r.status == DEAD and r.node in departed for r in own)
+        return live <= lost
+
+    def _add(self, key):
+        if len(self.claims) >= MAX_KEYS:
+            _, oldest = next(iter(self.claims.items()))
+            self._remove(oldest)
+            # What is forgotten early must not look like a new key.
+            self.floor_ms = max(self.floor_ms, oldest.key.minted_ms)
+        self.claims[key.text] = Claim(key)
+        return self.claims[key.text]
+
+    def _remove(self, claim):
+        del self.claims[claim.key.text]
+        self.kept_bytes -= _size_of(claim.answer)
+
+    def _may_keep(self, answer):
+        size = _size_of(answer)
+        return size <= MAX_ANSWER_BYTES and self.kept_bytes + size <= MAX_KEPT_BYTES
+
+
+def _size_of(answer):
+    return len(answer.body) if isinstance(answer, KeptAnswer) else 0
+
+
+def result_message(summary, key, ticket, outcome, answer):
+    """Return the `ClaimResult` for the owner of a key.
+
+    Parameters
+    ----------
+    summary : Summary
+        State of this node.
+    key, ticket : str
+        What was granted.
+    outcome : str
+        ``answered``, ``not_run`` or ``unknown``.
+    answer : KeptAnswer or None
+        Answer to keep.
+    """
+    if answer is not None and len(answer.body) > MAX_ANSWER_BYTES:
+        answer = None
+    return ClaimResult(summary, key, ticket, outcome, answer)
--- a/packages/cyclamentally/cyclamentally/members.py
+++ b/packages/cyclamentally/cyclamentally/members.py
@@ -53,6 +53,7 @@
             old.region,
             old.address,
             old.upstreams,
+            old.started_ms,
         )
         return self._replace(record, reason)
 
--- a/packages/cyclamentally/cyclamentally/membership.py
+++ b/packages/cyclamentally/cyclamentally/membership.py
@@ -1,9 +1,10 @@
 """Membership: claims, suspicion, refutation and repair of the member table."""
 
-from cyclamentally.effects import Count, Send, StateChanged
+from cyclamentally.effects import Count, DeathRefuted, Send, StateChanged
 from cyclamentally.limits import TokenBucket
 from cyclamentally.members import (
     ALIVE,
+    DEAD,
     LEFT,
     STATUS_RANK,
     SUSPECT,
@@ -305,6 +306,7 @@
             old.region,
             old.address,
             upstreams,
+            old.started_ms,
         )
         effects = self.table.apply(record)
         self._queue(record)
@@ -317,7 +319,10 @@
         if claim.incarnation == own.incarnation and claim.status == ALIVE:
             return []
         refuted = self._replace_own(ALIVE, own.upstreams, claim.incarnation)
-        return [Count("refutations_total"), *refuted]
+        effects = [Count("refutations_total"), *refuted]
+        if claim.status == DEAD:
+            effects.append(DeathRefuted())
+        return effects
 
     def _changed(self, record, now):
         self._queue(record)
--- /dev/null
+++ b/packages/cyclamentally/cyclamentally/message_types.py
@@ -0,0 +1,49 @@
+"""The list of all messages between nodes; the position is the wire code."""
+
+from cyclamentally.call_messages import (
+    ClaimReply,
+    ClaimRequest,
+    ClaimResult,
+    CrashMarks,
+)
+from cyclamentally.messages import (
+    Ack,
+    Beat,
+    BeatAck,
+    BucketHashes,
+    Busy,
+    ChangePush,
+    IndirectAck,
+    JoinRequest,
+    MemberDigest,
+    MemberUpdates,
+    Ping,
+    PingRequest,
+    Report,
+    StatusReply,
+    StatusRequest,
+    VersionDigest,
+)
+
+MESSAGE_TYPES = (
+    Ping,
+    Ack,
+    PingRequest,
+    IndirectAck,
+    Beat,
+    BeatAck,
+    JoinRequest,
+    MemberDigest,
+    BucketHashes,
+    MemberUpdates,
+    ChangePush,
+    VersionDigest,
+    Busy,
+    Report,
+    StatusRequest,
+    StatusReply,
+    ClaimRequest,
+    ClaimReply,
+    ClaimResult,
+    CrashMarks,
+)
--- a/packages/cyclamentally/cyclamentally/messages.py
+++ b/packages/cyclamentally/cyclamentally/messages.py
@@ -1,6 +1,11 @@
-"""Typed messages between nodes."""
+"""Messages between nodes on members and configuration."""
 
-from cyclamentally.model import Change, DomainStatus, MemberRecord, RefusedVersion
+from cyclamentally.model import (
+    Change,
+    DomainStatus,
+    MemberRecord,
+    RefusedVersion,
+)
 from cyclamentally.records import Record
 
 
@@ -311,23 +316,3 @@
     def __init__(self, sender: Summary, status: DomainStatus):
         self.sender = sender
         self.status = status
-
-
-MESSAGE_TYPES = (
-    Ping,
-    Ack,
-    PingRequest,
-    IndirectAck,
-    Beat,
-    BeatAck,
-    JoinRequest,
-    MemberDigest,
-    BucketHashes,
-    MemberUpdates,
-    ChangePush,
-    VersionDigest,
-    Busy,
-    Report,
-    StatusRequest,
-    StatusReply,
-)
--- /dev/null
+++ b/packages/cyclamentally/cyclamentally/quarantine.py
@@ -0,0 +1,177 @@
+"""Requests that crash upstreams are refused on every node."""
+
+from cyclamentally.call_messages import CrashMarks
+from cyclamentally.chart import runs_chart
+from cyclamentally.effects import Count, Send, StateChanged, SuspectsChanged
+from cyclamentally.hashing import hash_bytes
+from cyclamentally.records import Record
+
+CRASHES = 2
+MARK_S = 600.0
+MAX_SUSPECTS = 2_000
+
+
+class Crash(Record):
+    """The loss of an upstream, with the time in seconds."""
+
+    __slots__ = ("address", "now")
+
+    def __init__(self, address, now):
+        self.address = address
+        self.now = now
+
+
+@runs_chart("suspect_request")
+class SuspectRequest:
+    """A request that may crash upstreams; runs ``suspect_request``.
+
+    Parameters
+    ----------
+    fingerprint : int
+        Hash of the request.
+    """
+
+    __slots__ = ("addresses", "expires", "fingerprint", "state")
+
+    def __init__(self, fingerprint):
+        self.fingerprint = fingerprint
+        self.state = self.chart.initial
+        self.addresses = set()
+        self.expires = 0.0
+
+    def fire(self, event, crash=None):
+        """Run an event and return the effects."""
+        before = self.state
+        effects = self.chart.fire(self, event, crash)
+        if self.state == "quarantined" != before:
+            subject = f"request {self.fingerprint:016x}"
+            detail = ", ".join(sorted(self.addresses))
+            effects.append(StateChanged(subject, "quarantined", detail))
+            effects.append(Count("quarantines_total"))
+        return effects
+
+    def is_proved(self, crash):
+        """Whether this crash is one too many."""
+        return len(self.addresses | {crash.address}) >= CRASHES
+
+    def note(self, crash):
+        """Keep the upstream and start the time anew."""
+        self.addresses.add(crash.address)
+        self.expires = crash.now + MARK_S
+
+    def clear(self, crash):
+        """Forget the marks."""
+        self.addresses.clear()
+
+
+class Noted(Record):
+    """Effects of marks, and those marks that were new here."""
+
+    __slots__ = ("effects", "fresh")
+
+    def __init__(self, effects, fresh):
+        self.effects = effects
+        self.fresh = fresh
+
+
+class Quarantine:
+    """Marks of requests, shared by all nodes.
+
+    Parameters
+    ----------
+    topology : Topology
+        Trees and links on which marks travel.
+    summarize : callable
+        Returns the `Summary` of this node.
+    """
+
+    __slots__ = ("summarize", "suspects", "topology")
+
+    def __init__(self, topology, summarize):
+        self.topology = topology
+        self.summarize = summarize
+        self.suspects = {}
+
+    def fingerprints(self, state):
+        """Return the fingerprints of the requests in a state."""
+        suspects = self.suspects.values()
+        return frozenset(s.fingerprint for s in suspects if s.state == state)
+
+    def report(self, marks, now):
+        """Note crashes seen by this node and tell the others."""
+        own = self.topology.table.own
+        noted = self._note(marks, now)
+        pushed = self._push(own, noted.fresh) + self._cross(noted.fresh, "")
+        return noted.effects + pushed
+
+    def on_marks(self, message, now):
+        """Note crashes seen by another node and pass them on."""
+        noted = self._note(message.marks, now)
+        root = message.root or self.topology.table.own
+        pushed = self._push(root, noted.fresh)
+        return noted.effects + pushed + self._cross(noted.fresh, message.sender.node)
+
+    def succeed(self, fingerprint):
+        """Note that a request was answered; clears its marks."""
+        suspect = self.suspects.get(fingerprint)
+        if suspect is None:
+            return []
+        return [*suspect.fire("success"), SuspectsChanged()]
+
+    def tick(self, now):
+        """Forget marks whose time is over."""
+        effects = []
+        for fingerprint, suspect in list(self.suspects.items()):
+            if suspect.state != "unmarked" and now >= suspect.expires:
+                suspect.fire("expire")
+                effects.append(SuspectsChanged())
+            if suspect.state == "unmarked":
+                del self.suspects[fingerprint]
+        return effects
+
+    def _note(self, marks, now):
+        effects, fresh = [], []
+        for mark in marks:
+            suspect = self.suspects.get(mark.fingerprint)
+            if suspect is None:
+                if len(self.suspects) >= MAX_SUSPECTS:
+                    effects.append(Count("marks_dropped_total", "table_full"))
+                    continue
+                suspect = SuspectRequest(mark.fingerprint)
+                self.suspects[mark.fingerprint] = suspect
+            if mark.address in suspect.addresses:
+                continue
+            effects += suspect.fire("crash", Crash(mark.address, now))
+            fresh.append(mark)
+        if fresh:
+            effects.append(SuspectsChanged())
+        return Noted(effects, fresh)
+
+    def _push(self, root, marks):
+        return self._send(self.topology.children(root), root, marks)
+
+    def _cross(self, marks, sender):
+        if not self.topology.is_relay():
+            return []
+        links = [self.topology.feeder(), *self.topology.followers()]
+        return self._send([n for n in links if n and n != sender], "", marks)
+
+    def _send(self, nodes, root, marks):
+        if not marks:
+            return []
+        message = CrashMarks(self.summarize(), root, marks)
+        records = [self.topology.table.get(node) for node in nodes]
+        return [Send(r.address, r.region, message) for r in records]
+
+
+def fingerprint_of(method, target, body):
+    """Return the hash of a request.
+
+    Parameters
+    ----------
+    method, target : str
+        HTTP method; path with query.
+    body : bytes
+        Whole body.
+    """
+    return hash_bytes(f"{method} {target}\n".encode() + body)
--- a/packages/cyclamentally/cyclamentally/retries.py
+++ b/packages/cyclamentally/cyclamentally/retries.py
@@ -4,6 +4,7 @@
 from cyclamentally.chart import runs_chart
 from cyclamentally.effects import Count
 from cyclamentally.errors import ANSWERS, Kind, Ran, Refused
+from cyclamentally.quarantine import CRASHES
 from cyclamentally.records import Record
 
 
@@ -16,16 +17,13 @@
         Reason; its kind states whether the request ran.
     now : float
         Time in seconds.
-    is_final : bool
-        Whether a node further on has already retried.
     """
 
-    __slots__ = ("refusal", "now", "is_final")
+    __slots__ = ("refusal", "now")
 
-    def __init__(self, refusal, now, is_final=False):
+    def __init__(self, refusal, now):
         self.refusal = refusal
         self.now = now
-        self.is_final = is_final
 
 
 @runs_chart("request")
@@ -52,6 +50,7 @@
         "deadline",
         "is_idempotent",
         "location",
+        "losses",
         "number",
         "policy",
         "refusal",
@@ -68,6 +67,7 @@
         self.state = self.chart.initial
         self.attempts = 0
         self.avoid = []
+        self.losses = 0
         self.location = None
         self.refusal = None
 
@@ -102,12 +102,15 @@
 
     def may_retry(self, failure):
         """Whether an attempt that did not run may be followed by another."""
-        if failure.is_final or failure.now >= self.deadline:
+        if failure.refusal.is_final or failure.now >= self.deadline:
             return False
         return self.attempts < self.policy.max_attempts
 
     def may_repeat(self, failure):
         """Whether an attempt that may have run may be followed by another."""
+        is_lost = failure.refusal.kind == Kind.UPSTREAM_FAILED
+        if self.losses + is_lost >= CRASHES:
+            return False
         return self.is_idempotent and self.may_retry(failure)
 
     def begin_attempt(self, location):
@@ -118,6 +121,7 @@
     def plan_retry(self, failure):
         """Keep the reason and avoid the upstream that failed."""
         self.refusal = failure.refusal
+        self.losses += failure.refusal.kind == Kind.UPSTREAM_FAILED
         self.avoid.append(self.location.upstream.address)
         return [Count("retries_total", failure.refusal.kind)]
 
--- a/packages/cyclamentally/cyclamentally/versions.py
+++ b/packages/cyclamentally/cyclamentally/versions.py
@@ -21,9 +21,9 @@
     deleted : bool
         Whether the version is a tombstone.
     writer : str
-        Operator that wrote it.
+        Operator that wrote it; empty on nodes that got it from a peer.
     operation : str
-        Identifier of the write.
+        Identifier of the write; likewise.
     body : bytes
         Canonical body; empty for a tombstone.
     """
@@ -220,8 +220,6 @@
             version.version,
             base,
             version.deleted,
-            version.writer,
-            version.operation,
             body,
             hash_bytes(version.body),
         )
@@ -291,7 +289,7 @@
             change.name,
             change.version,
             change.deleted,
-            change.writer,
-            change.operation,
+            "",
+            "",
             body,
         )
