Test the front end against scripted upstreams; never pass off a cut answer

Cause: the first run of the fault table showed three faults. A body shorter than its Content-Length was passed on, since a read of a given size does not report the missing rest. An answer cut within its headers lost its length and counted as whole and empty. A malformed status line ended as a plain 500, which does not say whether the request ran. Change: a read at the end of each buffered body; answers whose end cannot be told are refused as upstream_truncated; errors of the HTTP parser are upstream_failed.

--- /dev/null
+++ b/packages/cyclamentally-node/cyclamentally_node/tests/conftest.py
@@ -0,0 +1,25 @@
+"""Fixtures of the node package."""
+
+import pytest
+
+from cyclamentally_node.tests.support import FrontStack, ScriptedUpstream
+
+
+@pytest.fixture
+def stack():
+    stack = FrontStack()
+    yield stack
+    stack.close()
+
+
+@pytest.fixture
+def make_upstream():
+    upstreams = []
+
+    def make(*script):
+        upstreams.append(ScriptedUpstream(*script))
+        return upstreams[-1]
+
+    yield make
+    for upstream in upstreams:
+        upstream.close()
--- /dev/null
+++ b/packages/cyclamentally-node/cyclamentally_node/tests/support.py
@@ -0,0 +1,193 @@
+"""Shared support: a scripted upstream and a front end without a fleet."""
+
+from random import Random
+from socket import create_server
+from threading import Event, Thread
+from time import monotonic, time
+from uuid import UUID
+
+from pykka import ThreadingActor
+from urllib3 import HTTPConnectionPool
+
+from cyclamentally.admission import Admission
+from cyclamentally.claims import Claimant
+from cyclamentally.idempotency import KeyOwner
+from cyclamentally.messages import Summary
+from cyclamentally.model import MemberRecord, Upstream
+from cyclamentally.profiles import ServicePolicy
+from cyclamentally.routing import NearestChooser
+from cyclamentally.snapshot import Cluster, Location, Route, Snapshot
+from cyclamentally_node.admission_task import AdmissionTask
+from cyclamentally_node.claim_task import ClaimTask
+from cyclamentally_node.connections import ConnectionPool
+from cyclamentally_node.events import MembersReplaced, SnapshotReplaced
+from cyclamentally_node.front import Front, FrontView
+from cyclamentally_node.keyed import KeyedRunner
+from cyclamentally_node.meters import Meters
+from cyclamentally_node.node import make_server
+from cyclamentally_node.runner import RequestRunner
+from cyclamentally_node.upstream_client import UpstreamClient
+
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood"
+LIMIT_S = 10.0
+
+
+def answer(body, status="200 OK", headers=""):
+    head = f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n{headers}\r\n"
+    return head.encode() + body
+
+
+class ScriptedUpstream:
+    """Answer the n-th request by the n-th entry of a script.
+
+    An entry is a list of byte strings to send, events to wait for, and None
+    to close the connection. The last entry serves all further requests.
+    """
+
+    def __init__(self, *script):
+        self.script = list(script) or [[WHOLE]]
+        self.requests = []
+        self.hung_up = Event()
+        self.received = Event()
+        self.is_closing = False
+        self.socket = create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.socket.getsockname()[1]}"
+        Thread(target=self._accept, daemon=True).start()
+
+    def close(self):
+        self.is_closing = True
+        self.socket.close()
+
+    def _accept(self):
+        while not self.is_closing:
+            try:
+                connection, _ = self.socket.accept()
+            except OSError:
+                return
+            Thread(target=self._serve, args=[connection], daemon=True).start()
+
+    def _serve(self, connection):
+        connection.settimeout(LIMIT_S)
+        try:
+            while self._serve_one(connection):
+                pass
+        except (TimeoutError, OSError):
+            pass
+        connection.close()
+
+    def _serve_one(self, connection):
+        data = b""
+        while b"\r\n\r\n" not in data:
+            part = connection.recv(65_536)
+            if not part:
+                return False
+            data += part
+        head, _, body = data.partition(b"\r\n\r\n")
+        length = 0
+        for line in head.lower().split(b"\r\n"):
+            if line.startswith(b"content-length:"):
+                length = int(line.split(b":")[1])
+        while len(body) < length:
+            body += connection.recv(65_536)
+        number = min(len(self.requests), len(self.script) - 1)
+        self.requests.append(head.decode())
+        self.received.set()
+        for step in self.script[number]:
+            if step is None:
+                return False
+            if isinstance(step, Event):
+                step.wait(LIMIT_S)
+            elif step == "await hang-up":
+                if connection.recv(1) == b"":
+                    self.hung_up.set()
+                return False
+            else:
+                connection.sendall(step)
+        return True
+
+
+class Recorder(ThreadingActor):
+    """Keep the messages that the control task would get."""
+
+    use_daemon_thread = True
+
+    def __init__(self):
+        super().__init__()
+        self.messages = []
+
+    def on_receive(self, message):
+        self.messages.append(message)
+
+
+def make_key(number=1, minted_ms=None):
+    minted_ms = int(time() * 1_000) if minted_ms is None else minted_ms
+    value = (minted_ms << 80) | (7 << 76) | (2 << 62) | number
+    return f"d-1.{UUID(int=value)}"
+
+
+class FrontStack:
+    """A front end with admission and claims, and a caller's connection."""
+
+    def __init__(self):
+        self.meters = Meters.start()
+        self.control = Recorder.start()
+        self.chooser = NearestChooser("d-1", "r", Random(1))
+        self.admission = AdmissionTask.start(
+            Admission(self.chooser), monotonic, self.meters
+        )
+        self.claims = self._start_claims()
+        self.pool = ConnectionPool(monotonic)
+        client = UpstreamClient(self.pool, monotonic)
+        self.runner = RequestRunner(
+            self.admission, self.control, self.meters, client, monotonic
+        )
+        self.view = FrontView()
+        self.view.is_ready = True
+        keyed = KeyedRunner(self.claims, self.runner)
+        front = Front(self.view, self.runner, keyed, self.meters, 1_000_000)
+        self.server = make_server(front, "127.0.0.1:0", 8, 2_000_000)
+        Thread(target=self.server.run, daemon=True).start()
+        self.port = self.server.effective_port
+        self.caller = HTTPConnectionPool("127.0.0.1", self.port, retries=False)
+
+    def close(self):
+        self.caller.close()
+        self.server.close()
+        for task in (self.admission, self.claims, self.control, self.meters):
+            task.stop()
+
+    def route_to(self, *addresses, call_class="lookup", **numbers):
+        defaults = {"slow_start_ms": 0, "timeout_ms": 5_000, "retry_percent": 100}
+        numbers = defaults | numbers
+        policy = ServicePolicy("standings", numbers)
+        locations = [
+            Location(Upstream("standings", "night", a, 4, 40, False), "n", "d-1", "r")
+            for a in addresses
+        ]
+        cluster = Cluster("standings", "night", policy, locations)
+        route = Route("/standings", "standings", call_class)
+        snapshot = Snapshot(1, (route,), {"standings": cluster})
+        self.admission.tell(SnapshotReplaced(snapshot))
+        self.view.snapshot = snapshot
+
+    def request(self, method="GET", path="/standings", **options):
+        return self.caller.request(method, path, **options)
+
+    def reason(self, response):
+        return (
+            response.status,
+            response.headers.get("Cyclamentally-Reason"),
+            response.headers.get("Cyclamentally-Ran"),
+        )
+
+    def _start_claims(self):
+        def sign():
+            return Summary("n", "10.0.0.1:1", "r", 0, 0, 0, True)
+
+        owner = KeyOwner("n", "d-1", sign, 0)
+        record = MemberRecord("n", 0, "alive", "d-1", "r", "10.0.0.1:1", [], 0)
+        claims = ClaimTask.start(
+            Claimant(owner, sign), lambda: int(time() * 1_000), None, self.meters
+        )
+        claims.tell(MembersReplaced([record]))
+        return claims
--- /dev/null
+++ b/packages/cyclamentally-node/cyclamentally_node/tests/test_front.py
@@ -0,0 +1,314 @@
+"""Fault cases between callers and upstreams."""
+
+from socket import create_connection
+from threading import Event, Thread
+
+import pytest
+from urllib3.exceptions import HTTPError
+
+from cyclamentally_node.events import CrashSeen, SuspectsReplaced
+from cyclamentally_node.tests.support import WHOLE, answer, make_key
+
+SHORT = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ngood"
+SHORT_CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n"
+CHUNKED = SHORT_CHUNKED + b"0\r\n\r\n"
+SHED = answer(b"", "503 Service Unavailable", "Cyclamentally-Ran: no\r\n")
+SHED_FINAL = answer(
+    b"",
+    "503 Service Unavailable",
+    "Cyclamentally-Ran: no\r\nCyclamentally-Retried: 1\r\n",
+)
+TRUNCATED = (502, "upstream_truncated", "unknown")
+BUSY = answer(b"busy", "503 Service Unavailable")
+LARGE = b"x" * 1_000_000
+
+
+def test_whole_answer_reaches_its_caller(stack, make_upstream):
+    upstream = make_upstream([answer(b"good", headers="X-Round: 3\r\n")])
+    stack.route_to(upstream.address)
+    response = stack.request()
+    assert (response.status, response.data) == (200, b"good")
+    assert response.headers["X-Round"] == "3"
+
+
+@pytest.mark.parametrize(
+    ("script", "expected"),
+    [
+        ([SHORT, None], TRUNCATED),
+        ([SHORT_CHUNKED, None], TRUNCATED),
+        ([None], (502, "upstream_failed", "unknown")),
+        ([b"rubbish\r\n\r\n", None], (502, "upstream_failed", "unknown")),
+        ([b"HTTP/1.1 200 OK\r\nContent-Le", None], TRUNCATED),
+        ([b"HTTP/1.1 200 OK\r\n\r\nno length", None], TRUNCATED),
+        ([SHED], (503, "upstream_overloaded", "no")),
+        ([SHED_FINAL], (503, "upstream_overloaded", "no")),
+        ([BUSY], (503, None, None)),
+    ],
+)
+def test_failed_post_is_refused_and_ran_once(stack, make_upstream, script, expected):
+    upstream = make_upstream(script)
+    stack.route_to(upstream.address, max_attempts=1)
+    response = stack.request("POST", body=b"result")
+    assert stack.reason(response) == expected
+    assert len(upstream.requests) == 1
+
+
+@pytest.mark.parametrize(
+    "script", [[SHORT, None], [SHORT_CHUNKED, None], [None], [b"rubbish", None]]
+)
+def test_lookup_is_repeated_at_another_upstream(stack, make_upstream, script):
+    bad, good = make_upstream(script), make_upstream()
+    stack.route_to(bad.address, good.address)
+    for _ in range(6):
+        assert stack.request().data == b"good"
+    assert len(good.requests) >= 6
+
+
+@pytest.mark.parametrize("script", [[SHORT, None], [None]])
+def test_post_that_may_have_run_is_not_repeated(stack, make_upstream, script):
+    bad, good = make_upstream(script), make_upstream()
+    stack.route_to(bad.address, good.address)
+    statuses = [stack.request("POST", body=b"r").status for _ in range(8)]
+    refused = statuses.count(502)
+    assert refused == len(bad.requests) > 0
+    assert len(good.requests) == 8 - refused
+
+
+def test_post_that_was_shed_is_repeated(stack, make_upstream):
+    bad, good = make_upstream([SHED]), make_upstream()
+    stack.route_to(bad.address, good.address)
+    assert [stack.request("POST").status for _ in range(4)] == [200] * 4
+
+
+def test_upstream_that_refuses_connections_is_passed_over(stack, make_upstream):
+    dead, good = make_upstream(), make_upstream()
+    dead.close()
+    stack.route_to(dead.address, good.address)
+    assert [stack.request("POST").status for _ in range(4)] == [200] * 4
+
+
+def test_answer_without_the_ran_header_is_passed_on_once(stack, make_upstream):
+    upstream = make_upstream([BUSY])
+    stack.route_to(upstream.address)
+    assert stack.request().data == b"busy"
+    assert len(upstream.requests) == 1
+
+
+def test_late_answer_goes_to_nobody_else(stack, make_upstream):
+    release = Event()
+    upstream = make_upstream([release, answer(b"late")], [WHOLE])
+    stack.route_to(upstream.address, timeout_ms=200, max_attempts=1)
+    refused = stack.request("POST")
+    assert stack.reason(refused) == (504, "upstream_timeout", "unknown")
+    release.set()
+    assert stack.request().data == b"good"
+
+
+def test_surplus_answer_is_not_given_to_the_next_request(stack, make_upstream):
+    upstream = make_upstream([WHOLE + answer(b"surplus")], [WHOLE])
+    stack.route_to(upstream.address)
+    assert stack.request().data == b"good"
+    assert stack.request().data == b"good"
+    assert len(upstream.requests) == 2
+
+
+def test_idle_connection_closed_by_the_upstream_is_not_used(stack, make_upstream):
+    upstream = make_upstream([WHOLE, None])
+    stack.route_to(upstream.address)
+    assert [stack.request("POST").status for _ in range(3)] == [200] * 3
+
+
+def test_large_answer_is_streamed_whole(stack, make_upstream):
+    upstream = make_upstream([answer(LARGE)])
+    stack.route_to(upstream.address)
+    assert stack.request().data == LARGE
+
+
+@pytest.mark.parametrize("size", [300_000, 900_000])
+def test_large_answer_that_is_cut_is_not_passed_off_as_whole(
+    stack, make_upstream, size
+):
+    upstream = make_upstream([answer(LARGE)[:size], None])
+    stack.route_to(upstream.address, max_attempts=1)
+    with pytest.raises(HTTPError):
+        stack.request()
+
+
+def test_chunked_answer_is_whole(stack, make_upstream):
+    upstream = make_upstream([CHUNKED])
+    stack.route_to(upstream.address)
+    assert stack.request().data == b"good"
+
+
+def test_head_keeps_the_length(stack, make_upstream):
+    upstream = make_upstream([b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"])
+    stack.route_to(upstream.address)
+    response = stack.request("HEAD")
+    assert (response.status, response.headers["Content-Length"]) == (200, "4")
+
+
+def test_hang_up_of_the_caller_is_passed_on(stack, make_upstream):
+    upstream = make_upstream(["await hang-up"])
+    stack.route_to(upstream.address)
+    with create_connection(("127.0.0.1", stack.port)) as caller:
+        caller.sendall(b"GET /standings HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert upstream.received.wait(5)
+    assert upstream.hung_up.wait(5)
+
+
+def test_deadline_is_passed_on(stack, make_upstream):
+    upstream = make_upstream()
+    stack.route_to(upstream.address)
+    stack.request(headers={"Cyclamentally-Deadline-Ms": "700"})
+    (head,) = upstream.requests
+    (line,) = [x for x in head.split("\r\n") if "Deadline-Ms" in x]
+    assert 0 < int(line.split(": ")[1]) <= 700
+
+
+def test_deadline_in_the_queue_is_refused_as_not_run(stack, make_upstream):
+    release = Event()
+    upstream = make_upstream([release, WHOLE])
+    stack.route_to(upstream.address, max_attempts=1)
+    first = Thread(target=stack.request)
+    first.start()
+    assert upstream.received.wait(5)
+    headers = {"Cyclamentally-Deadline-Ms": "100"}
+    refused = stack.request("POST", headers=headers)
+    assert refused.headers["Cyclamentally-Ran"] == "no"
+    assert refused.status in (503, 504)
+    release.set()
+    first.join()
+    assert len(upstream.requests) == 1
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "options", "expected"),
+    [
+        ("GET", "/other", {}, (404, "no_route", "no")),
+        (
+            "POST",
+            "/standings",
+            {"body": b"x" * 1_000_001},
+            (413, "body_too_large", "no"),
+        ),
+        (
+            "GET",
+            "/standings",
+            {"headers": {"Cyclamentally-Deadline-Ms": "soon"}},
+            (400, "bad_request", "no"),
+        ),
+        (
+            "POST",
+            "/standings",
+            {"headers": {"Idempotency-Key": "once"}},
+            (400, "bad_key", "no"),
+        ),
+    ],
+)
+def test_bad_request_is_refused_as_not_run(
+    stack, make_upstream, method, path, options, expected
+):
+    upstream = make_upstream()
+    stack.route_to(upstream.address)
+    assert stack.reason(stack.request(method, path, **options)) == expected
+    assert upstream.requests == []
+
+
+@pytest.mark.parametrize(
+    ("attribute", "value", "reason"),
+    [("is_ready", False, "not_ready"), ("is_stopping", True, "stopping")],
+)
+def test_node_that_cannot_serve_refuses_as_not_run(stack, attribute, value, reason):
+    setattr(stack.view, attribute, value)
+    assert stack.reason(stack.request()) == (503, reason, "no")
+
+
+def test_quarantined_request_is_refused(stack, make_upstream):
+    upstream = make_upstream([None])
+    stack.route_to(upstream.address, max_attempts=1)
+    stack.request()
+    (seen,) = stack.control._actor_weakref().messages
+    assert isinstance(seen, CrashSeen)
+    marks = frozenset([seen.mark.fingerprint])
+    stack.view.suspects = SuspectsReplaced(frozenset(), marks)
+    assert stack.reason(stack.request()) == (422, "request_quarantined", "no")
+    assert len(upstream.requests) == 1
+
+
+def keyed(stack, key, body=b"result"):
+    return stack.request("POST", body=body, headers={"Idempotency-Key": key})
+
+
+def test_keyed_post_runs_once_and_its_answer_is_repeated(stack, make_upstream):
+    upstream = make_upstream()
+    stack.route_to(upstream.address)
+    key = make_key()
+    first, second = keyed(stack, key), keyed(stack, key)
+    assert (first.data, second.data) == (b"good", b"good")
+    assert second.headers["Cyclamentally-Repeated"] == "1"
+    assert len(upstream.requests) == 1
+
+
+def test_keyed_post_with_a_lost_answer_never_runs_again(stack, make_upstream):
+    upstream = make_upstream([None], [WHOLE])
+    stack.route_to(upstream.address)
+    key = make_key()
+    assert stack.reason(keyed(stack, key))[1:] == ("upstream_failed", "unknown")
+    assert stack.reason(keyed(stack, key)) == (409, "outcome_unknown", "unknown")
+    assert len(upstream.requests) == 1
+
+
+def test_keyed_post_that_did_not_run_may_be_sent_again(stack, make_upstream):
+    upstream = make_upstream([SHED], [WHOLE])
+    stack.route_to(upstream.address, max_attempts=1)
+    key = make_key()
+    assert stack.reason(keyed(stack, key)) == (503, "upstream_overloaded", "no")
+    assert keyed(stack, key).data == b"good"
+
+
+def test_key_of_another_request_is_refused(stack, make_upstream):
+    upstream = make_upstream()
+    stack.route_to(upstream.address)
+    key = make_key()
+    keyed(stack, key)
+    assert stack.reason(keyed(stack, key, b"other")) == (422, "key_reused", "no")
+
+
+def test_resend_while_running_is_refused(stack, make_upstream):
+    release = Event()
+    upstream = make_upstream([release, WHOLE])
+    stack.route_to(upstream.address)
+    key = make_key()
+    first = Thread(target=keyed, args=[stack, key])
+    first.start()
+    assert upstream.received.wait(5)
+    assert stack.reason(keyed(stack, key)) == (409, "key_in_progress", "unknown")
+    release.set()
+    first.join()
+    assert len(upstream.requests) == 1
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\x00\xff\r\n\r\n",
+        b"GET\r\n\r\n",
+        b"GET /standings HTTP/9.9\r\nContent-Length: -1\r\n\r\n",
+        b"POST /standings HTTP/1.1\r\nContent-Length: x\r\n\r\n",
+        b"POST /s HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        b"GET /" + b"a" * 300_000 + b" HTTP/1.1\r\n\r\n",
+    ],
+)
+def test_malformed_http_harms_nobody_else(stack, make_upstream, data):
+    upstream = make_upstream()
+    stack.route_to(upstream.address)
+    with create_connection(("127.0.0.1", stack.port)) as caller:
+        caller.settimeout(5)
+        caller.sendall(data)
+        try:
+            head = caller.recv(100)
+        except ConnectionResetError:
+            head = b""
+    assert b" 200 " not in head
+    assert stack.request().data == b"good"
+    assert len(upstream.requests) == 1
--- a/packages/cyclamentally-node/cyclamentally_node/upstream_client.py
+++ b/packages/cyclamentally-node/cyclamentally_node/upstream_client.py
@@ -1,5 +1,6 @@
 """Send one attempt of a request to one upstream."""
 
+from http.client import HTTPException
 from select import select
 
 from urllib3.exceptions import HTTPError
@@ -69,7 +70,7 @@
         except TimeoutError:
             connection.close()
             return Refused(Kind.UPSTREAM_TIMEOUT, f"{address}: no answer in time")
-        except (HTTPError, OSError, ValueError) as error:
+        except (HTTPError, HTTPException, OSError, ValueError) as error:
             connection.close()
             return Refused(Kind.UPSTREAM_FAILED, f"{address}: {error!r}"[:200])
 
@@ -102,6 +103,10 @@
             connection.close()
             return refusal
         response = connection.getresponse()
+        if not _has_end(request, response):
+            connection.close()
+            detail = f"{address}: the answer has no length, so it may be cut"
+            return Refused(Kind.UPSTREAM_TRUNCATED, detail)
         return self._read(connection, response, address)
 
     def _await(self, connection, address, deadline, is_caller_gone):
@@ -145,7 +150,9 @@
 
     def _read_some(self, response):
         try:
-            return response.read(BUFFER_BYTES + 1)
+            body = response.read(BUFFER_BYTES + 1)
+            # Only a read at the end tells a short body from a whole one.
+            return body + response.read(1)
         except HTTPError as error:
             return Refused(Kind.UPSTREAM_TRUNCATED, repr(error)[:200])
 
@@ -172,6 +179,14 @@
 
 
 HTTP_11 = 11
+STATUSES_WITHOUT_BODY = (204, 304)
+
+
+def _has_end(request, response):
+    """Return whether the end of the answer can be told from a cut."""
+    if request.method == "HEAD" or response.status in STATUSES_WITHOUT_BODY:
+        return True
+    return "Content-Length" in response.headers or response.chunked
 
 
 def _shed(response, address):
