--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,9 @@
 
 bench-spread: install
 	$(BIN)/python bench/spread.py
+
+reference: install
+	$(BIN)/python -m cyclamentally_node.reference
+
+bench-calls: install
+	$(BIN)/python bench/calls.py
--- a/packages/cyclamentally-testing/cyclamentally_testing/upstream_server.py
+++ b/packages/cyclamentally-testing/cyclamentally_testing/upstream_server.py
@@ -8,18 +8,42 @@
 import os
 import sys
 from threading import Event, Lock, Thread
+from urllib.parse import parse_qs
 
 from msgspec.json import decode, encode
 from urllib3 import PoolManager
 from urllib3.exceptions import HTTPError
 from waitress import create_server
 
+from cyclamentally.records import Record
+
 ANNOUNCE_PERIOD_S = 1.0
 ANNOUNCE_TIMEOUT_S = 1.0
 THREADS = 16
 CRASH_CODE = 70
 
 
+class Behaviour(Record):
+    """Faults of the whole stand-in.
+
+    Parameters
+    ----------
+    slow_ms : int
+        Time added to every request, ms.
+    sheds : bool
+        Whether it sheds every request.
+    shed : int
+        Requests shed so far.
+    """
+
+    __slots__ = ("slow_ms", "sheds", "shed")
+
+    def __init__(self):
+        self.slow_ms = 0
+        self.sheds = False
+        self.shed = 0
+
+
 class UpstreamServer:
     """Serve requests and announce the service.
 
@@ -37,6 +61,7 @@
 
     __slots__ = (
         "admin",
+        "behaviour",
         "busy",
         "closed",
         "draining",
@@ -55,6 +80,7 @@
         self.admin = admin
         self.slots = slots
         self.busy = 0
+        self.behaviour = Behaviour()
         self.draining = False
         self.executed = {}
         self.lock = Lock()
@@ -109,8 +135,11 @@
             self.draining = True
             self.announce()
             return _answer(start_response, b"{}")
+        if path == "/behave":
+            return self._behave(environ, start_response)
         with self.lock:
-            if self.busy >= self.slots or environ.get("HTTP_X_FAIL") == "shed":
+            if self._must_shed(environ):
+                self.behaviour.shed += 1
                 return _shed(start_response)
             self.busy += 1
         try:
@@ -119,6 +148,22 @@
             with self.lock:
                 self.busy -= 1
 
+    def _behave(self, environ, start_response):
+        """Set faults from the query and return those in force."""
+        query = parse_qs(environ["QUERY_STRING"])
+        behaviour = self.behaviour
+        if "slow_ms" in query:
+            behaviour.slow_ms = int(query["slow_ms"][0])
+        if "shed" in query:
+            behaviour.sheds = query["shed"][0] == "1"
+        document = {"slow_ms": behaviour.slow_ms, "shed": behaviour.shed}
+        return _answer(start_response, encode(document))
+
+    def _must_shed(self, environ):
+        if self.behaviour.sheds or environ.get("HTTP_X_FAIL") == "shed":
+            return True
+        return self.busy >= self.slots
+
     def _execute(self, environ, start_response):
         body = environ["wsgi.input"].read()
         token = environ.get("HTTP_X_TOKEN", "")
@@ -127,7 +172,9 @@
         fault = environ.get("HTTP_X_FAIL", "")
         if fault == "crash":
             os._exit(CRASH_CODE)
-        self.closed.wait(float(environ.get("HTTP_X_WORK_MS", 0)) / 1_000)
+        work_ms = float(environ.get("HTTP_X_WORK_MS", 0)) + self.behaviour.slow_ms
+        if work_ms:
+            self.closed.wait(work_ms / 1_000)
         size = int(environ.get("HTTP_X_SIZE", 0))
         document = {
             "service": self.service,
--- a/packages/cyclamentally/cyclamentally/admission.py
+++ b/packages/cyclamentally/cyclamentally/admission.py
@@ -124,7 +124,7 @@
             if endpoint.has_room(now, is_bulk, percent)
         ]
         untried = [e for e in free if e.address not in call.avoid]
-        return self.chooser.choose(untried or free) if free else None
+        return self.chooser.choose(untried or free, call.call_class) if free else None
 
     def is_usable(self):
         """Return whether any upstream may get requests now or soon."""
--- a/packages/cyclamentally/cyclamentally/routing.py
+++ b/packages/cyclamentally/cyclamentally/routing.py
@@ -2,6 +2,8 @@
 
 from abc import ABC, abstractmethod
 
+from cyclamentally.hashing import hash_text
+
 SAMPLES = 2
 
 
@@ -11,7 +13,7 @@
     __slots__ = ()
 
     @abstractmethod
-    def choose(self, endpoints):
+    def choose(self, endpoints, call_class):
         """Return one endpoint of a list that is not empty."""
 
 
@@ -23,7 +25,7 @@
     def __init__(self, random):
         self.random = random
 
-    def choose(self, endpoints):
+    def choose(self, endpoints, call_class):
         """Return a random endpoint."""
         return self.random.choice(endpoints)
 
@@ -36,7 +38,7 @@
     def __init__(self):
         self.turn = 0
 
-    def choose(self, endpoints):
+    def choose(self, endpoints, call_class):
         """Return the next endpoint."""
         self.turn += 1
         return endpoints[self.turn % len(endpoints)]
@@ -60,7 +62,7 @@
         self.region = region
         self.random = random
 
-    def choose(self, endpoints):
+    def choose(self, endpoints, call_class):
         """Return the less used of two random endpoints nearby."""
         near = self._nearest(endpoints)
         if len(near) > SAMPLES:
@@ -75,5 +77,32 @@
         return regional or endpoints
 
 
+class GroupedChooser(NearestChooser):
+    """Preferred and fallback groups of upstreams for each class of requests.
+
+    Every third upstream is preferred by bulk requests, the others by lookups;
+    a request falls back to the other group only if its own has no room. After
+    "Replica Group Based Workload Isolation (StarTree Cloud)".
+    """
+
+    __slots__ = ("fallbacks",)
+
+    def __init__(self, domain, region, random):
+        super().__init__(domain, region, random)
+        self.fallbacks = 0
+
+    def choose(self, endpoints, call_class):
+        """Return an endpoint of the preferred group, else of the other."""
+        is_bulk = call_class == "bulk"
+        preferred = [e for e in endpoints if _is_bulk_group(e) == is_bulk]
+        if not preferred:
+            self.fallbacks += 1
+        return super().choose(preferred or endpoints, call_class)
+
+
+def _is_bulk_group(endpoint):
+    return hash_text(endpoint.address) % 3 == 0
+
+
 def _load(endpoint):
     return endpoint.in_flight / endpoint.hard_limit
