--- a/packages/cyclamentally-cli/cyclamentally_cli/tests/test_main.py
+++ b/packages/cyclamentally-cli/cyclamentally_cli/tests/test_main.py
@@ -1,7 +1,6 @@
 from json import loads
 from subprocess import run
 from sys import executable
-from threading import Thread
 
 import pytest
 
@@ -18,7 +17,7 @@
 @pytest.fixture
 def server():
     server = PlatformServer()
-    Thread(target=server.start, daemon=True).start()
+    server.start()
     yield server
     server.close()
 
--- /dev/null
+++ b/packages/cyclamentally-node/cyclamentally_node/http_server.py
@@ -0,0 +1,80 @@
+"""The task that owns the sockets of a waitress server."""
+
+from contextlib import suppress
+from threading import Thread
+
+from waitress import create_server
+
+from cyclamentally_node.settings import split_address
+
+CONNECTION_LIMIT = 512
+IDLE_CALLER_S = 60
+OUTPUT_BYTES = 1_000_000
+# Hosts have no disks, so waitress must never move a buffer to a file.
+NO_FILE_BYTES = 1 << 40
+
+
+class HttpServer:
+    """Serve a WSGI application in a thread that owns all its sockets.
+
+    Parameters
+    ----------
+    application : callable
+        WSGI application.
+    address : str
+        ``IP:port`` to listen on; port 0 lets the system choose.
+    threads : int
+        Requests handled at once.
+    max_body : int
+        Largest request body in bytes.
+    """
+
+    __slots__ = ("server", "thread")
+
+    def __init__(self, application, address, threads, max_body):
+        host, port = split_address(address)
+        self.server = create_server(
+            application,
+            host=host,
+            port=port,
+            threads=threads,
+            connection_limit=CONNECTION_LIMIT,
+            channel_timeout=IDLE_CALLER_S,
+            clear_untrusted_proxy_headers=True,
+            channel_request_lookahead=1,
+            max_request_body_size=max_body + 1,
+            inbuf_overflow=NO_FILE_BYTES,
+            outbuf_overflow=NO_FILE_BYTES,
+            outbuf_high_watermark=OUTPUT_BYTES,
+            ident=None,
+        )
+        self.thread = Thread(target=self.server.run, daemon=True)
+
+    @property
+    def port(self):
+        """Port that the server listens on."""
+        return int(self.server.effective_port)
+
+    def start(self):
+        """Begin to serve."""
+        self.thread.start()
+
+    def close(self):
+        """Close all sockets in the thread that owns them, and wait for it."""
+        if self.thread.is_alive():
+            # The thread may run the function and close the pipe before this
+            # call has written to it.
+            with suppress(OSError):
+                self.server.trigger.pull_trigger(self._close_sockets)
+            self.thread.join()
+        self.server.task_dispatcher.shutdown()
+
+    def is_idle(self):
+        """Return whether no request is handled and no answer is unsent."""
+        channels = list(self.server.active_channels.values())
+        return not any(c.requests or c.total_outbufs_len for c in channels)
+
+    def _close_sockets(self):
+        for channel in list(self.server.active_channels.values()):
+            channel.handle_close()
+        self.server.close()
--- a/packages/cyclamentally-node/cyclamentally_node/meters.py
+++ b/packages/cyclamentally-node/cyclamentally_node/meters.py
@@ -9,13 +9,14 @@
 LABELS = {
     "requests_refused_total": "reason",
     "retries_total": "reason",
+    "retries_refused_total": "reason",
+    "claims_refused_total": "reason",
     "messages_refused_total": "reason",
     "transfers_refused_total": "reason",
     "versions_refused_total": "reason",
     "peer_bytes_sent_total": "regions",
     "peer_bytes_received_total": "regions",
     "requests_answered_total": "class",
-    "fallbacks_total": "class",
 }
 DEFAULT_LABEL = "state"
 
--- a/packages/cyclamentally-node/cyclamentally_node/node.py
+++ b/packages/cyclamentally-node/cyclamentally_node/node.py
@@ -6,7 +6,6 @@
 
 from cyclamentally_platform.client import HttpPlatform
 from cyclamentally_platform.stored import JsonStoredCodec
-from waitress import create_server
 
 from cyclamentally.admission import Admission
 from cyclamentally.announcements import Announcements
@@ -32,12 +31,12 @@
     StopNode,
 )
 from cyclamentally_node.front import Front, FrontView
+from cyclamentally_node.http_server import HttpServer
 from cyclamentally_node.keyed import KeyedRunner
 from cyclamentally_node.meters import Meters
 from cyclamentally_node.peers import PeerReceiver, PeerSender
 from cyclamentally_node.platform_task import PlatformTask
 from cyclamentally_node.runner import RequestRunner
-from cyclamentally_node.settings import split_address
 from cyclamentally_node.ticker import Ticker
 from cyclamentally_node.upstream_client import UpstreamClient
 from cyclamentally_node.watcher import FrontWatcher
@@ -46,12 +45,7 @@
 MS = 1_000
 DRAIN_CHECK_S = 0.05
 READY_CHECK_S = 0.1
-CONNECTION_LIMIT = 512
-IDLE_CALLER_S = 60
 ADMIN_BODY_BYTES = 10_000
-OUTPUT_BYTES = 1_000_000
-# Hosts have no disks, so waitress must never move a buffer to a file.
-NO_FILE_BYTES = 1 << 40
 
 
 def choose_nearest(settings, random):
@@ -138,7 +132,7 @@
         self.platform.tell(ReadSeeds())
         self.ticker.start()
         for server in (self.front_server, self.admin_server):
-            Thread(target=server.run, daemon=True).start()
+            server.start()
         Thread(target=self._await_ready, daemon=True).start()
 
     def close(self):
@@ -237,10 +231,10 @@
         keyed = KeyedRunner(self.claims, runner)
         max_body = settings.calls_max_body_bytes
         front = Front(self.view, runner, keyed, self.meters, max_body)
-        self.front_server = make_server(
+        self.front_server = HttpServer(
             front, settings.listen_calls, settings.calls_threads, max_body
         )
-        self.admin_server = make_server(
+        self.admin_server = HttpServer(
             Admin(self.control, self.meters),
             settings.listen_admin,
             ADMIN_THREADS,
@@ -273,9 +267,7 @@
         pause = Event()
         while monotonic() < deadline:
             is_busy = self.admission.ask(CountInFlight()) > 0
-            channels = list(self.front_server.active_channels.values())
-            is_writing = any(c.requests or c.total_outbufs_len for c in channels)
-            if not is_busy and not is_writing:
+            if not is_busy and self.front_server.is_idle():
                 return
             pause.wait(DRAIN_CHECK_S)
 
@@ -287,35 +279,3 @@
             Count("peer_bytes_received_total", f"{far}>{near}", received, "platform"),
         ]
         self.meters.tell(Counted(counts))
-
-
-def make_server(application, address, threads, max_body):
-    """Return a waitress server.
-
-    Parameters
-    ----------
-    application : callable
-        WSGI application.
-    address : str
-        ``IP:port`` to listen on.
-    threads : int
-        Requests handled at once.
-    max_body : int
-        Largest request body in bytes.
-    """
-    host, port = split_address(address)
-    return create_server(
-        application,
-        host=host,
-        port=port,
-        threads=threads,
-        connection_limit=CONNECTION_LIMIT,
-        channel_timeout=IDLE_CALLER_S,
-        clear_untrusted_proxy_headers=True,
-        channel_request_lookahead=1,
-        max_request_body_size=max_body + 1,
-        inbuf_overflow=NO_FILE_BYTES,
-        outbuf_overflow=NO_FILE_BYTES,
-        outbuf_high_watermark=OUTPUT_BYTES,
-        ident=None,
-    )
--- a/packages/cyclamentally-node/cyclamentally_node/tests/support.py
+++ b/packages/cyclamentally-node/cyclamentally_node/tests/support.py
@@ -22,9 +22,9 @@
 from cyclamentally_node.connections import ConnectionPool
 from cyclamentally_node.events import MembersReplaced, SnapshotReplaced
 from cyclamentally_node.front import Front, FrontView
+from cyclamentally_node.http_server import HttpServer
 from cyclamentally_node.keyed import KeyedRunner
 from cyclamentally_node.meters import Meters
-from cyclamentally_node.node import make_server
 from cyclamentally_node.runner import RequestRunner
 from cyclamentally_node.upstream_client import UpstreamClient
 
@@ -116,7 +116,10 @@
         self.messages = []
 
     def on_receive(self, message):
+        if message == "messages":
+            return list(self.messages)
         self.messages.append(message)
+        return None
 
 
 def make_key(number=1, minted_ms=None):
@@ -145,9 +148,9 @@
         self.view.is_ready = True
         keyed = KeyedRunner(self.claims, self.runner)
         front = Front(self.view, self.runner, keyed, self.meters, 1_000_000)
-        self.server = make_server(front, "127.0.0.1:0", 8, 2_000_000)
-        Thread(target=self.server.run, daemon=True).start()
-        self.port = self.server.effective_port
+        self.server = HttpServer(front, "127.0.0.1:0", 8, 2_000_000)
+        self.server.start()
+        self.port = self.server.port
         self.caller = HTTPConnectionPool("127.0.0.1", self.port, retries=False)
 
     def close(self):
--- a/packages/cyclamentally-node/cyclamentally_node/tests/test_front.py
+++ b/packages/cyclamentally-node/cyclamentally_node/tests/test_front.py
@@ -227,7 +227,7 @@
     upstream = make_upstream([None])
     stack.route_to(upstream.address, max_attempts=1)
     stack.request()
-    (seen,) = stack.control._actor_weakref().messages
+    (seen,) = stack.control.ask("messages")
     assert isinstance(seen, CrashSeen)
     marks = frozenset([seen.mark.fingerprint])
     stack.view.suspects = SuspectsReplaced(frozenset(), marks)
--- a/packages/cyclamentally-testing/cyclamentally_testing/platform_server.py
+++ b/packages/cyclamentally-testing/cyclamentally_testing/platform_server.py
@@ -9,13 +9,13 @@
 from urllib.parse import parse_qs
 
 from msgspec.json import encode
-from waitress import create_server
 
 from cyclamentally.records import Record
+from cyclamentally_node.http_server import HttpServer
 from cyclamentally_testing.key_values import KeyValues
 
 MAX_VALUE_BYTES = 2_000_000
-THREADS = 64
+THREADS = 256
 
 
 class Faults(Record):
@@ -58,16 +58,17 @@
         self.calls = {}
         self.pause = Event()
         self.started = monotonic()
-        self.server = create_server(self, host=host, port=port, threads=THREADS)
+        address = f"{host}:{port}"
+        self.server = HttpServer(self, address, THREADS, MAX_VALUE_BYTES)
 
     @property
     def url(self):
         """Base address of the server."""
-        return f"http://{self.server.effective_host}:{self.server.effective_port}"
+        return f"http://127.0.0.1:{self.server.port}"
 
     def start(self):
-        """Serve until `close` is called."""
-        self.server.run()
+        """Begin to serve."""
+        self.server.start()
 
     def close(self):
         """Stop serving."""
@@ -148,7 +149,9 @@
     """Run the stand-in; the port is the only argument."""
     import sys
 
-    PlatformServer(port=int(sys.argv[1])).start()
+    server = PlatformServer(port=int(sys.argv[1]))
+    server.start()
+    server.server.thread.join()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/packages/cyclamentally-testing/cyclamentally_testing/replay.py
@@ -0,0 +1,322 @@
+"""Replay of a recorded trace: a front end without sockets and threads.
+
+A trace is a TOML file with ``[[events]]`` in order of time. Calls state the
+outcome that they must have and how often upstreams must have run them.
+"""
+
+import tomllib
+from heapq import heappop, heappush
+from itertools import count
+from pathlib import Path
+from random import Random
+from uuid import UUID
+
+from cyclamentally.admission import Admission, Denied, Granted
+from cyclamentally.call_messages import ClaimResult
+from cyclamentally.claims import Claimant, Judged
+from cyclamentally.errors import ANSWERS, Kind, Ran, Refused
+from cyclamentally.idempotency import GRANTED, REPEATED, KeyOwner
+from cyclamentally.messages import Summary
+from cyclamentally.model import KeptAnswer, MemberRecord, Upstream
+from cyclamentally.profiles import check_profile
+from cyclamentally.quarantine import CRASHES, fingerprint_of
+from cyclamentally.records import Record
+from cyclamentally.retries import Failure, RequestLife, no_route
+from cyclamentally.routing import NearestChooser
+from cyclamentally.snapshot import EMPTY_SNAPSHOT, build_snapshot
+
+IDEMPOTENT_METHODS = ("GET", "HEAD", "PUT", "DELETE")
+EPOCH_MS = 1_800_000_000_000
+TICK_S = 0.1
+MS = 1_000
+NODE = "replay"
+
+
+class CallOutcome(Record):
+    """How a call of the trace ended.
+
+    Parameters
+    ----------
+    name : str
+        Name of the call in the trace.
+    kind : str
+        ``answered``, ``repeated`` or a kind of refusal.
+    ran : int
+        How often upstreams executed it.
+    finished : float
+        Time in seconds.
+    """
+
+    __slots__ = ("name", "kind", "ran", "finished")
+
+    def __init__(self, name, kind, ran, finished):
+        self.name = name
+        self.kind = kind
+        self.ran = ran
+        self.finished = finished
+
+
+class TraceUpstream(Record):
+    """An upstream of the trace and how it behaves at the moment."""
+
+    __slots__ = ("upstream", "behaviour", "latency", "is_present")
+
+    def __init__(self, upstream, behaviour, latency):
+        self.upstream = upstream
+        self.behaviour = behaviour
+        self.latency = latency
+        self.is_present = True
+
+
+class TraceCall(Record):
+    """A call of the trace on its way."""
+
+    __slots__ = ("event", "life", "ticket", "fingerprint", "serial")
+
+    def __init__(self, event, life, fingerprint):
+        self.event = event
+        self.life = life
+        self.ticket = ""
+        self.fingerprint = fingerprint
+        self.serial = 0
+
+
+class Replay:
+    """Run a trace with the decision objects of the product.
+
+    Parameters
+    ----------
+    document : dict
+        Content of the trace file.
+    profile : Profile
+        Profile that the services follow.
+    seed : int
+        Seed of the choice among upstreams.
+    """
+
+    __slots__ = (
+        "admission",
+        "calls",
+        "claimant",
+        "crashed",
+        "document",
+        "executions",
+        "heap",
+        "now",
+        "numbers",
+        "order",
+        "outcomes",
+        "profile",
+        "snapshot",
+        "upstreams",
+    )
+
+    def __init__(self, document, profile, seed=1):
+        self.document = document
+        self.profile = profile
+        self.now = 0.0
+        self.heap = []
+        self.order = count()
+        self.numbers = count(1)
+        self.upstreams = {}
+        self.calls = {}
+        self.outcomes = []
+        self.executions = {}
+        self.crashed = {}
+        self.snapshot = EMPTY_SNAPSHOT
+        self.admission = Admission(NearestChooser("d-1", "r", Random(seed)))
+        owner = KeyOwner(NODE, "d-1", _sign, 0)
+        record = MemberRecord(NODE, 0, "alive", "d-1", "r", "10.0.0.1:1", [], 0)
+        owner.update([record], 0)
+        self.claimant = Claimant(owner, _sign)
+
+    def run(self):
+        """Return the list of `CallOutcome` in the order of their ends."""
+        for event in self.document["events"]:
+            self._at(event["at"], getattr(self, f"_on_{event['event']}"), event)
+        last = max(event["at"] for event in self.document["events"])
+        for number in range(int((last + self.document["tail_s"]) / TICK_S)):
+            self._at(number * TICK_S, self._tick, None)
+        while self.heap:
+            self.now, _, action, argument = heappop(self.heap)
+            action(argument)
+        return self.outcomes
+
+    def _at(self, time, action, argument):
+        heappush(self.heap, (time, next(self.order), action, argument))
+
+    def _now_ms(self):
+        return EPOCH_MS + int(self.now * MS)
+
+    def _tick(self, _):
+        self.claimant.owner.tick(self._now_ms())
+        self._carry_out(self.admission.tick(self.now))
+
+    def _on_announce(self, event):
+        address = event["address"]
+        upstream = Upstream(
+            event["service"],
+            self.profile.name,
+            address,
+            event.get("slots", 10),
+            event.get("connections", 120),
+            event.get("draining", False),
+        )
+        old = self.upstreams.get(address)
+        behaviour = old.behaviour if old else "good"
+        latency = event.get("latency_ms", 5) / MS
+        self.upstreams[address] = TraceUpstream(upstream, behaviour, latency)
+        self._rebuild()
+
+    def _on_withdraw(self, event):
+        self.upstreams[event["address"]].is_present = False
+        self._rebuild()
+
+    def _on_behave(self, event):
+        upstream = self.upstreams[event["address"]]
+        upstream.behaviour = event["behaviour"]
+        upstream.latency = event.get("latency_ms", upstream.latency * MS) / MS
+
+    def _rebuild(self):
+        present = [u.upstream for u in self.upstreams.values() if u.is_present]
+        record = MemberRecord(NODE, 0, "alive", "d-1", "r", "10.0.0.1:1", present, 0)
+        self.snapshot = build_snapshot(
+            self.snapshot.generation + 1, {self.profile.name: self.profile}, [record]
+        )
+        self._carry_out(self.admission.update(self.snapshot, self.now))
+
+    def _on_call(self, event):
+        route = self.snapshot.find_route(event["path"])
+        if route is None:
+            self._end(event["name"], no_route(event["path"]).kind)
+            return
+        body = event.get("body", "").encode()
+        fingerprint = fingerprint_of(event["method"], event["path"], body)
+        if len(self.crashed.get(fingerprint, ())) >= CRASHES:
+            self._end(event["name"], Kind.REQUEST_QUARANTINED)
+            return
+        policy = self.snapshot.clusters[route.service].policy
+        allowed_ms = event.get("deadline_ms", policy.timeout_ms)
+        life = RequestLife(
+            next(self.numbers),
+            route,
+            policy,
+            event["method"] in IDEMPOTENT_METHODS,
+            self.now + allowed_ms / MS,
+        )
+        call = TraceCall(event, life, fingerprint)
+        self.calls[life.number] = call
+        if "key" in event and not life.is_idempotent:
+            self._claim(call, allowed_ms)
+        else:
+            self._admit(call)
+
+    def _claim(self, call, allowed_ms):
+        call.ticket = f"ticket-{call.life.number}"
+        key = _make_key(call.event["key"], call.event.get("minted", self.now))
+        call.event = call.event | {"minted_key": key}
+        effects = self.claimant.ask(
+            key, call.fingerprint, call.ticket, allowed_ms, self._now_ms()
+        )
+        (judged,) = [effect for effect in effects if isinstance(effect, Judged)]
+        verdict = judged.verdict
+        if verdict.kind == GRANTED:
+            self._admit(call)
+            return
+        kind = "repeated" if verdict.kind == REPEATED else verdict.kind
+        self._end(call.event["name"], kind)
+
+    def _admit(self, call):
+        self._carry_out(self.admission.request(call.life.call(), self.now))
+
+    def _carry_out(self, effects):
+        for effect in effects:
+            if isinstance(effect, Granted):
+                self._start(effect)
+            elif isinstance(effect, Denied):
+                call = self.calls[effect.number]
+                call.life.deny(effect.refusal, self.now)
+                self._settle(call)
+
+    def _start(self, granted):
+        call = self.calls[granted.number]
+        call.life.grant(granted.location)
+        call.serial += 1
+        address = granted.location.upstream.address
+        upstream = self.upstreams[address]
+        kind, delay = self._attempt(call, upstream)
+        remaining = call.life.deadline - self.now
+        if delay >= remaining:
+            kind, delay = Kind.UPSTREAM_TIMEOUT, remaining
+        self._at(self.now + delay, self._finish, (call, kind, address))
+
+    def _attempt(self, call, upstream):
+        """Return the outcome of an attempt and its time in seconds."""
+        behaviour = upstream.behaviour
+        if behaviour == "down":
+            return Kind.UPSTREAM_UNREACHABLE, 0.0
+        if behaviour == "shed":
+            return Kind.UPSTREAM_OVERLOADED, 0.0
+        name = call.event["name"]
+        self.executions[name] = self.executions.get(name, 0) + 1
+        if behaviour == "crash" or call.event.get("is_deadly"):
+            upstream.behaviour = "down"
+            return Kind.UPSTREAM_FAILED, upstream.latency / 2
+        if behaviour == "truncate":
+            return Kind.UPSTREAM_TRUNCATED, upstream.latency
+        return None, upstream.latency
+
+    def _finish(self, argument):
+        call, kind, address = argument
+        if kind is None:
+            call.life.answer()
+            self.crashed.pop(call.fingerprint, None)
+        else:
+            if kind == Kind.UPSTREAM_FAILED:
+                self.crashed.setdefault(call.fingerprint, set()).add(address)
+            call.life.fail(Failure(Refused(kind, address), self.now))
+        effects = self.admission.finish(call.life.number, kind, self.now)
+        if call.life.state == "waiting":
+            self._admit(call)
+        else:
+            self._settle(call)
+        self._carry_out(effects)
+
+    def _settle(self, call):
+        life = call.life
+        kind = "answered" if life.state == "answered" else life.refusal.kind
+        if call.ticket:
+            self._report(call, kind)
+        self._end(call.event["name"], kind)
+
+    def _report(self, call, kind):
+        outcome, kept = "answered", KeptAnswer("200 OK", [], [], b"")
+        if kind != "answered":
+            is_unknown = ANSWERS[kind].ran == Ran.UNKNOWN
+            outcome, kept = ("unknown" if is_unknown else "not_run"), None
+        key = call.event["minted_key"]
+        result = ClaimResult(_sign(), key, call.ticket, outcome, kept)
+        self.claimant.report(key, call.ticket, outcome, result.answer, self._now_ms())
+
+    def _end(self, name, kind):
+        ran = self.executions.get(name, 0)
+        self.outcomes.append(CallOutcome(name, str(kind), ran, self.now))
+
+
+def _sign():
+    return Summary(NODE, "10.0.0.1:1", "r", 0, 0, 0, True)
+
+
+def _make_key(number, minted):
+    minted_ms = EPOCH_MS + int(minted * MS)
+    value = (minted_ms << 80) | (7 << 76) | (2 << 62) | number
+    return f"d-1.{UUID(int=value)}"
+
+
+def load_trace(path):
+    """Return the document of a trace and the checked profile that it names."""
+    path = Path(path)
+    document = tomllib.loads(path.read_text())
+    profile_path = path.parent / document["profile"]
+    content = tomllib.loads(profile_path.read_text())
+    return document, check_profile(profile_path.stem, content).value
--- /dev/null
+++ b/packages/cyclamentally-testing/cyclamentally_testing/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the stand-ins."""
--- a/packages/cyclamentally-testing/cyclamentally_testing/upstream_server.py
+++ b/packages/cyclamentally-testing/cyclamentally_testing/upstream_server.py
@@ -13,14 +13,15 @@
 from msgspec.json import decode, encode
 from urllib3 import PoolManager
 from urllib3.exceptions import HTTPError
-from waitress import create_server
 
 from cyclamentally.records import Record
+from cyclamentally_node.http_server import HttpServer
 
 ANNOUNCE_PERIOD_S = 1.0
 ANNOUNCE_TIMEOUT_S = 1.0
 THREADS = 16
 CRASH_CODE = 70
+MAX_BODY_BYTES = 10_000_000
 
 
 class Behaviour(Record):
@@ -86,17 +87,17 @@
         self.lock = Lock()
         self.closed = Event()
         self.pool = PoolManager(retries=False)
-        self.server = create_server(self, host="127.0.0.1", port=port, threads=THREADS)
+        self.server = HttpServer(self, f"127.0.0.1:{port}", THREADS, MAX_BODY_BYTES)
 
     @property
     def address(self):
         """``IP:port`` of the server."""
-        return f"127.0.0.1:{self.server.effective_port}"
+        return f"127.0.0.1:{self.server.port}"
 
     def start(self):
-        """Announce and serve until `close` is called."""
+        """Begin to announce and to serve."""
         Thread(target=self._announce_forever, daemon=True).start()
-        self.server.run()
+        self.server.start()
 
     def close(self):
         """Stop announcing and serving."""
@@ -203,7 +204,9 @@
 def main():
     """Run the stand-in; arguments: service, profile, port, admin, slots."""
     service, profile, port, admin, slots = sys.argv[1:]
-    UpstreamServer(service, profile, int(port), admin, int(slots)).start()
+    server = UpstreamServer(service, profile, int(port), admin, int(slots))
+    server.start()
+    server.server.thread.join()
 
 
 def read_record(pool, address):
--- a/packages/cyclamentally/cyclamentally/retries.py
+++ b/packages/cyclamentally/cyclamentally/retries.py
@@ -125,11 +125,21 @@
         self.avoid.append(self.location.upstream.address)
         return [Count("retries_total", failure.refusal.kind)]
 
+    def has_failed(self, failure):
+        """Whether an earlier attempt has failed."""
+        return self.refusal is not None
+
+    def keep_failure(self, failure):
+        """Answer a retry without a slot by what went wrong before."""
+        return [
+            Count("retries_refused_total", failure.refusal.kind),
+            Count("requests_refused_total", self.refusal.kind),
+        ]
+
     def refuse(self, failure):
         """Choose the reason that the caller is given.
 
-        A retry without a slot is answered by what went wrong before, since
-        only that tells whether the request ran.
+        A later attempt that did not run says nothing about an earlier one.
         """
         if self.refusal is None or self._tells_more(failure.refusal):
             self.refusal = failure.refusal
