--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -13,19 +13,19 @@
 from time import process_time
 
 from cyclamentally.bodies import JsonBodyCodec
-from cyclamentally.control import ControlPlane, Identity
-from cyclamentally.effects import ConfigurationChanged
-from cyclamentally.messages import MemberDigest, MemberUpdates
+from cyclamentally.control import REBUILDS_PER_S, ControlPlane, Identity
+from cyclamentally.effects import ConfigurationChanged, Send
+from cyclamentally.messages import Beat, MemberDigest, MemberUpdates, Ping, Report
 from cyclamentally.model import MemberRecord, Upstream
 from cyclamentally.versions import ProfileVersion
-from cyclamentally_node.peer_codec import encode_message
+from cyclamentally_node.peer_codec import decode_message, encode_message
 
 MEMBERS = [475, 950, 1_900]
 PROFILES = [52, 105, 210]
 SERVICES = 210
 DOMAINS = 5
 SERVICES_PER_PROFILE = 70
-REPEATS = 20
+REPEATS = 200
 RESULT = Path("bench/results/capacity.json")
 
 
@@ -36,7 +36,8 @@
 
     def announce_nothing(self):
         """Rebuild the snapshot without a message."""
-        self._settle([ConfigurationChanged()])
+        self.rebuild_limit.tokens = REBUILDS_PER_S
+        self._settle([ConfigurationChanged()], 0.0)
 
 
 def make_plane():
@@ -151,9 +152,38 @@
     }
 
 
+def measure_messages():
+    """Return the processor time to decode and handle common messages."""
+    plane = make_plane()
+    for number in range(1, MEMBERS[-1]):
+        plane.table.apply(record_of(number))
+    peer = plane.summarize()
+    peer.node = "host-5"
+    peer.address = "10.0.0.5:7100"
+    refused = []
+    messages = {
+        "ping": Ping(peer, 1, []),
+        "beat": Beat(peer, True, []),
+        "report": Report(peer, "d-0", refused),
+    }
+    costs = {}
+    for name, message in messages.items():
+        data = encode_message(message)
+        costs[f"{name}_bytes"] = len(data)
+        costs[f"{name}_ms"] = timed_ms(lambda data=data: _handle(plane, data))
+    return costs
+
+
+def _handle(plane, data):
+    for effect in plane.receive(decode_message(data).value, 0.0):
+        if isinstance(effect, Send):
+            encode_message(effect.message)
+
+
 def main():
     """Measure and write the result."""
     result = {
+        "messages": measure_messages(),
         "members": [measure_members(count) for count in MEMBERS],
         "profiles": [measure_profiles(count) for count in PROFILES],
     }
--- a/packages/cyclamentally-node/cyclamentally_node/control_task.py
+++ b/packages/cyclamentally-node/cyclamentally_node/control_task.py
@@ -135,7 +135,7 @@
 
     def _publish_upstreams(self, effects):
         upstreams = self.announcements.upstreams()
-        self._carry_out([*effects, *self.plane.announce(upstreams)])
+        self._carry_out([*effects, *self.plane.announce(upstreams, self.clock())])
 
     def _collect(self, message):
         now = self.clock()
@@ -170,7 +170,7 @@
         )
 
     def _stop_node(self, message):
-        self._carry_out(self.plane.stop())
+        self._carry_out(self.plane.stop(self.clock()))
 
     def _note_crash(self, message):
         marks = [message.mark]
--- a/packages/cyclamentally/cyclamentally/control.py
+++ b/packages/cyclamentally/cyclamentally/control.py
@@ -5,6 +5,7 @@
 from cyclamentally.effects import ConfigurationChanged, Count
 from cyclamentally.errors import Kind
 from cyclamentally.lifecycle import NodeLife
+from cyclamentally.limits import TokenBucket
 from cyclamentally.members import ALIVE, MemberTable, is_live
 from cyclamentally.membership import Membership
 from cyclamentally.messages import (
@@ -37,6 +38,7 @@
 from cyclamentally.versions import VersionTable
 
 TICK_S = 0.2
+REBUILDS_PER_S = 10.0
 
 
 class Identity(Record):
@@ -90,10 +92,12 @@
         "distribution",
         "handlers",
         "identity",
+        "is_outdated",
         "life",
         "membership",
         "prober",
         "quarantine",
+        "rebuild_limit",
         "relay",
         "reporter",
         "snapshot",
@@ -117,6 +121,8 @@
         self.life = NodeLife(self.membership, self.distribution, seeds, random, now)
         self.quarantine = Quarantine(*shared)
         self.snapshot = EMPTY_SNAPSHOT
+        self.rebuild_limit = TokenBucket(REBUILDS_PER_S, REBUILDS_PER_S, now)
+        self.is_outdated = False
         self.handlers = self._handlers()
 
     def summarize(self):
@@ -140,7 +146,9 @@
         effects += self.distribution.tick(now)
         effects += self.reporter.tick(now)
         effects += self.quarantine.tick(now)
-        return self._settle(effects)
+        if self.is_outdated:
+            effects.append(ConfigurationChanged())
+        return self._settle(effects, now)
 
     def receive(self, message, now):
         """Handle a message of another node.
@@ -158,7 +166,7 @@
         self.membership.on_summary(summary, now)
         self.distribution.on_summary(summary, now)
         effects += self.life.on_summary(summary, now)
-        return self._settle(effects)
+        return self._settle(effects, now)
 
     def on_platform_versions(self, versions, is_complete, now):
         """Install versions that the platform returned.
@@ -175,25 +183,31 @@
         effects = self.distribution.on_platform(versions, now)
         if is_complete:
             effects += self.life.on_platform_read()
-        return self._settle(effects)
+        return self._settle(effects, now)
 
     def on_platform_state(self, is_reachable):
         """Note whether the platform answers."""
         return self.relay.on_platform_state(is_reachable)
 
-    def announce(self, upstreams):
+    def announce(self, upstreams, now):
         """Replace the upstreams on this node's host."""
         changed = [ConfigurationChanged()]
-        return self._settle(changed + self.membership.announce(upstreams))
+        return self._settle(changed + self.membership.announce(upstreams), now)
 
-    def stop(self):
+    def stop(self, now):
         """Announce that this node stops."""
-        return self._settle(self.life.stop())
+        return self._settle(self.life.stop(), now)
 
-    def _settle(self, effects):
-        """Replace the snapshot once, however many changes there were."""
+    def _settle(self, effects, now):
+        """Replace the snapshot once, however many changes there were.
+
+        While a herd returns, changes beyond the limit wait for the next tick.
+        """
         if not any(isinstance(e, ConfigurationChanged) for e in effects):
             return effects
+        self.is_outdated = not self.rebuild_limit.take(now)
+        if self.is_outdated:
+            return [e for e in effects if not isinstance(e, ConfigurationChanged)]
         live = [record for record in self.table.records() if is_live(record)]
         self.snapshot = build_snapshot(
             self.snapshot.generation + 1, self.versions.profiles(), live
--- a/packages/cyclamentally/cyclamentally/tests/test_control.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_control.py
@@ -161,7 +161,7 @@
 def test_cut_off_domain_keeps_its_configuration_and_upstreams(fleet):
     put(fleet, 1)
     host = f"{DOMAIN}-a"
-    fleet.carry_out(host, fleet.planes[host].announce([upstream()]))
+    fleet.carry_out(host, fleet.planes[host].announce([upstream()], fleet.now))
     fleet.step()
     cut_domain_and_platform(fleet)
     fleet.run(30)
@@ -316,12 +316,14 @@
 
 def test_draining_upstream_is_known_everywhere_at_once(fleet):
     host = "gogledd-2-a"
-    fleet.carry_out(host, fleet.planes[host].announce([upstream()]))
+    fleet.carry_out(host, fleet.planes[host].announce([upstream()], fleet.now))
     put(fleet, 1)
     fleet.run(0.4)
     for plane in fleet.planes.values():
         assert plane.snapshot.find_route("/standings") is not None
-    fleet.carry_out(host, fleet.planes[host].announce([upstream(draining=True)]))
+    fleet.carry_out(
+        host, fleet.planes[host].announce([upstream(draining=True)], fleet.now)
+    )
     fleet.step()
     for plane in fleet.planes.values():
         (location,) = plane.snapshot.clusters["standings"].locations
@@ -330,7 +332,7 @@
 
 def test_upstream_vanishes_with_its_node(fleet):
     host = "gogledd-2-a"
-    fleet.carry_out(host, fleet.planes[host].announce([upstream()]))
+    fleet.carry_out(host, fleet.planes[host].announce([upstream()], fleet.now))
     put(fleet, 1)
     fleet.run(1)
     fleet.kill(host)
@@ -361,3 +363,20 @@
     assert plane.board.is_complete(fleet.now + 1)
     silent = {s.domain for s in plane.board.collected() if s.current == 0}
     assert silent == {DOMAIN}
+
+
+def test_snapshots_of_a_burst_are_limited_and_the_last_one_is_built(fleet):
+    put(fleet, 1)
+    fleet.run(2)
+    host, other = "gogledd-2-a", "de-1-a"
+    built = fleet.planes[other].snapshot.generation
+    for number in range(100):
+        upstreams = [upstream(draining=number % 2 == 0)]
+        plane = fleet.planes[host]
+        fleet.carry_out(host, plane.announce(upstreams, fleet.now))
+        fleet.deliver_all()
+    fleet.run(0.4)
+    snapshot = fleet.planes[other].snapshot
+    assert 10 <= snapshot.generation - built <= 15
+    (location,) = snapshot.clusters["standings"].locations
+    assert not location.upstream.draining
--- a/packages/cyclamentally/cyclamentally/tests/test_promises.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_promises.py
@@ -89,12 +89,12 @@
         if name in self.exchange.planes and name not in self.exchange.paused:
             upstream = Upstream("standings", "night", "10.1.1.1:80", 4, 40, draining)
             plane = self.exchange.planes[name]
-            self.exchange.carry_out(name, plane.announce([upstream]))
+            self.exchange.carry_out(name, plane.announce([upstream], self.exchange.now))
 
     def withdraw(self, name):
         if name in self.exchange.planes and name not in self.exchange.paused:
             plane = self.exchange.planes[name]
-            self.exchange.carry_out(name, plane.announce([]))
+            self.exchange.carry_out(name, plane.announce([], self.exchange.now))
 
     def set_platform(self, is_up):
         self.exchange.platform.is_up = is_up
--- a/samples/embed.py
+++ b/samples/embed.py
@@ -97,7 +97,7 @@
         if plane.relay.state == "source":
             loop.carry_out(plane.on_platform_versions([version], True, loop.now))
     upstream = Upstream("standings", "night", "10.0.0.1:9000", 2, 20, False)
-    loop.carry_out(first.announce([upstream]))
+    loop.carry_out(first.announce([upstream], loop.now))
     loop.step()
     return [plane.snapshot for plane in loop.planes.values()]
 
