Remove doubled code of trees, links and effects

Cause: membership and quarantine each had their own way to send along trees and links; two tasks sorted effects alike; a test rebuilt the key table by hand. Change: Topology.tree_sends and link_sends; Outbox for messages and counts; KeyOwner.add; shared support for places in tests. Assertions are unchanged. Conclusion: one place each.

--- a/packages/cyclamentally-node/cyclamentally_node/claim_task.py
+++ b/packages/cyclamentally-node/cyclamentally_node/claim_task.py
@@ -4,15 +4,12 @@
 
 from cyclamentally.call_messages import ClaimReply, ClaimRequest, ClaimResult
 from cyclamentally.claims import Judged
-from cyclamentally.effects import Count, Send
 from cyclamentally_node.events import (
     AskClaim,
-    Counted,
     ForgetClaim,
     MembersReplaced,
     OwnDeathRefuted,
     PeerReceived,
-    PeerSend,
     ReportClaim,
     Tick,
 )
@@ -29,19 +26,18 @@
         Decisions, owned by this task.
     clock_ms : callable
         Returns the time in ms since the epoch.
-    sender, meters : pykka.ActorRef
-        Tasks that carry out effects.
+    outbox : Outbox
+        Carries out messages and counts.
     """
 
     use_daemon_thread = True
 
-    def __init__(self, claimant, clock_ms, sender, meters):
+    def __init__(self, claimant, clock_ms, outbox):
         super().__init__()
         self.claimant = claimant
         self.owner = claimant.owner
         self.clock_ms = clock_ms
-        self.sender = sender
-        self.meters = meters
+        self.outbox = outbox
         self.futures = {}
         self.handlers = {
             AskClaim: self._ask,
@@ -95,13 +91,7 @@
         return self.owner.tick(now_ms)
 
     def _carry_out(self, effects):
-        sends = [effect for effect in effects if isinstance(effect, Send)]
-        counts = [effect for effect in effects if isinstance(effect, Count)]
-        if sends:
-            self.sender.tell(PeerSend(sends))
-        if counts:
-            self.meters.tell(Counted(counts))
-        for effect in effects:
+        for effect in self.outbox.deliver(effects):
             if isinstance(effect, Judged):
                 future = self.futures.pop(effect.ticket, None)
                 if future is not None:
--- a/packages/cyclamentally-node/cyclamentally_node/control_task.py
+++ b/packages/cyclamentally-node/cyclamentally_node/control_task.py
@@ -5,9 +5,7 @@
 
 from cyclamentally.effects import (
     ConfigurationChanged,
-    Count,
     DeathRefuted,
-    Send,
     StateChanged,
     SuspectsChanged,
     WatchPlatform,
@@ -16,14 +14,12 @@
 from cyclamentally_node.events import (
     Announce,
     CollectStatus,
-    Counted,
     CrashSeen,
     DescribeNode,
     MembersReplaced,
     NodeDescription,
     OwnDeathRefuted,
     PeerReceived,
-    PeerSend,
     PlatformState,
     PlatformVersions,
     PublishSeed,
@@ -51,8 +47,10 @@
         Upstreams on this host, owned by this task.
     clock : callable
         Returns the time in seconds.
-    sender, platform, meters : pykka.ActorRef
-        Tasks that carry out effects.
+    outbox : Outbox
+        Carries out messages and counts.
+    platform : pykka.ActorRef
+        Task that watches the platform.
     claims : pykka.ActorRef
         Task that takes each change of the members.
     readers : list of pykka.ActorRef
@@ -61,16 +59,13 @@
 
     use_daemon_thread = True
 
-    def __init__(
-        self, plane, announcements, clock, sender, platform, meters, claims, readers
-    ):
+    def __init__(self, plane, announcements, clock, outbox, platform, claims, readers):
         super().__init__()
         self.plane = plane
         self.announcements = announcements
         self.clock = clock
-        self.sender = sender
+        self.outbox = outbox
         self.platform = platform
-        self.meters = meters
         self.claims = claims
         self.readers = readers
         self.members_hash = None
@@ -189,13 +184,7 @@
         self.seed_slot = slot
 
     def _carry_out(self, effects):
-        sends = [effect for effect in effects if isinstance(effect, Send)]
-        counts = [effect for effect in effects if isinstance(effect, Count)]
-        if sends:
-            self.sender.tell(PeerSend(sends))
-        if counts:
-            self.meters.tell(Counted(counts))
-        for effect in effects:
+        for effect in self.outbox.deliver(effects):
             if isinstance(effect, StateChanged):
                 logger.info("%s: %s: %s", effect.subject, effect.state, effect.detail)
             elif isinstance(effect, WatchPlatform):
--- a/packages/cyclamentally-node/cyclamentally_node/node.py
+++ b/packages/cyclamentally-node/cyclamentally_node/node.py
@@ -34,6 +34,7 @@
 from cyclamentally_node.http_server import HttpServer
 from cyclamentally_node.keyed import KeyedRunner
 from cyclamentally_node.meters import Meters
+from cyclamentally_node.outbox import Outbox
 from cyclamentally_node.peers import PeerReceiver, PeerSender
 from cyclamentally_node.platform_task import PlatformTask
 from cyclamentally_node.runner import RequestRunner
@@ -190,9 +191,8 @@
             settings.node_name, settings.node_domain, self._sign, self.started_ms
         )
         claimant = Claimant(owner, self._sign)
-        return ClaimTask.start(
-            claimant, lambda: int(time() * MS), self.sender, self.meters
-        )
+        outbox = Outbox(self.sender, self.meters)
+        return ClaimTask.start(claimant, lambda: int(time() * MS), outbox)
 
     def _start_control(self):
         settings = self.settings
@@ -215,9 +215,8 @@
             plane,
             Announcements(),
             monotonic,
-            self.sender,
+            Outbox(self.sender, self.meters),
             self.platform,
-            self.meters,
             self.claims,
             [self.admission, self.watcher],
         )
--- /dev/null
+++ b/packages/cyclamentally-node/cyclamentally_node/outbox.py
@@ -0,0 +1,41 @@
+"""Carrying out of the effects that all tasks have in common."""
+
+from cyclamentally.effects import Count, Send
+from cyclamentally_node.events import Counted, PeerSend
+
+
+class Outbox:
+    """Hand messages to the sender and counts to the meters.
+
+    Parameters
+    ----------
+    sender, meters : pykka.ActorRef
+        Tasks that carry out these effects.
+    """
+
+    __slots__ = ("meters", "sender")
+
+    def __init__(self, sender, meters):
+        self.sender = sender
+        self.meters = meters
+
+    def deliver(self, effects):
+        """Carry out the effects of kind `Send` and `Count`.
+
+        Parameters
+        ----------
+        effects : list
+            Effects of any kind.
+
+        Returns
+        -------
+        list
+            The other effects.
+        """
+        sends = [effect for effect in effects if isinstance(effect, Send)]
+        counts = [effect for effect in effects if isinstance(effect, Count)]
+        if sends:
+            self.sender.tell(PeerSend(sends))
+        if counts:
+            self.meters.tell(Counted(counts))
+        return [e for e in effects if not isinstance(e, Send | Count)]
--- a/packages/cyclamentally-node/cyclamentally_node/tests/support.py
+++ b/packages/cyclamentally-node/cyclamentally_node/tests/support.py
@@ -25,6 +25,7 @@
 from cyclamentally_node.http_server import HttpServer
 from cyclamentally_node.keyed import KeyedRunner
 from cyclamentally_node.meters import Meters
+from cyclamentally_node.outbox import Outbox
 from cyclamentally_node.runner import RequestRunner
 from cyclamentally_node.upstream_client import UpstreamClient
 
@@ -190,7 +191,9 @@
         owner = KeyOwner("n", "d-1", sign, 0)
         record = MemberRecord("n", 0, "alive", "d-1", "r", "10.0.0.1:1", [], 0)
         claims = ClaimTask.start(
-            Claimant(owner, sign), lambda: int(time() * 1_000), None, self.meters
+            Claimant(owner, sign),
+            lambda: int(time() * 1_000),
+            Outbox(None, self.meters),
         )
         claims.tell(MembersReplaced([record]))
         return claims
--- a/packages/cyclamentally/cyclamentally/idempotency.py
+++ b/packages/cyclamentally/cyclamentally/idempotency.py
@@ -232,7 +232,7 @@
             refusal = self._check_tenure(key)
             if refusal is not None:
                 return refusal
-            claim = self._add(key)
+            claim = self.add(key)
         return claim.fire("claim", claiming)[0]
 
     def on_result(self, result, now_ms):
@@ -262,6 +262,16 @@
                 del self.departed[name]
         return []
 
+    def add(self, key):
+        """Return a new claim for a key; forgets the oldest if there are too many."""
+        if len(self.claims) >= MAX_KEYS:
+            _, oldest = next(iter(self.claims.items()))
+            self._remove(oldest)
+            # What is forgotten early must not look like a new key.
+            self.floor_ms = max(self.floor_ms, oldest.key.minted_ms)
+        self.claims[key.text] = Claim(key)
+        return self.claims[key.text]
+
     def _note_change(self, record, now_ms):
         known = self.records.get(record.node)
         if known is None or not is_live(known) or known.node == self.node:
@@ -301,15 +311,6 @@
         lost = sum(r.status == DEAD and r.node in departed for r in own)
         return live <= lost
 
-    def _add(self, key):
-        if len(self.claims) >= MAX_KEYS:
-            _, oldest = next(iter(self.claims.items()))
-            self._remove(oldest)
-            # What is forgotten early must not look like a new key.
-            self.floor_ms = max(self.floor_ms, oldest.key.minted_ms)
-        self.claims[key.text] = Claim(key)
-        return self.claims[key.text]
-
     def _remove(self, claim):
         del self.claims[claim.key.text]
         self.kept_bytes -= _size_of(claim.answer)
--- a/packages/cyclamentally/cyclamentally/membership.py
+++ b/packages/cyclamentally/cyclamentally/membership.py
@@ -262,19 +262,14 @@
         if not records:
             return []
         message = MemberUpdates(self.summarize(), root, records)
-        return [self._send(node, message) for node in self.topology.children(root)]
+        return self.topology.tree_sends(root, message)
 
     def _cross(self, records, sender):
         """Send records along the links between relays."""
-        if not records or not self.topology.is_relay():
+        if not records:
             return []
-        links = [self.topology.feeder(), *self.topology.followers()]
         message = MemberUpdates(self.summarize(), "", records)
-        return [self._send(n, message) for n in links if n and n != sender]
-
-    def _send(self, node, message):
-        record = self.table.get(node)
-        return Send(record.address, record.region, message)
+        return self.topology.link_sends(message, sender)
 
     def _send_records(self, address, region, records):
         effects = []
--- a/packages/cyclamentally/cyclamentally/quarantine.py
+++ b/packages/cyclamentally/cyclamentally/quarantine.py
@@ -2,7 +2,7 @@
 
 from cyclamentally.call_messages import CrashMarks
 from cyclamentally.chart import runs_chart
-from cyclamentally.effects import Count, Send, StateChanged, SuspectsChanged
+from cyclamentally.effects import Count, StateChanged, SuspectsChanged
 from cyclamentally.hashing import hash_bytes
 from cyclamentally.records import Record
 
@@ -101,15 +101,13 @@
         """Note crashes seen by this node and tell the others."""
         own = self.topology.table.own
         noted = self._note(marks, now)
-        pushed = self._push(own, noted.fresh) + self._cross(noted.fresh, "")
-        return noted.effects + pushed
+        return noted.effects + self._spread(own, noted.fresh, "")
 
     def on_marks(self, message, now):
         """Note crashes seen by another node and pass them on."""
         noted = self._note(message.marks, now)
         root = message.root or self.topology.table.own
-        pushed = self._push(root, noted.fresh)
-        return noted.effects + pushed + self._cross(noted.fresh, message.sender.node)
+        return noted.effects + self._spread(root, noted.fresh, message.sender.node)
 
     def succeed(self, fingerprint):
         """Note that a request was answered; clears its marks."""
@@ -147,21 +145,13 @@
             effects.append(SuspectsChanged())
         return Noted(effects, fresh)
 
-    def _push(self, root, marks):
-        return self._send(self.topology.children(root), root, marks)
-
-    def _cross(self, marks, sender):
-        if not self.topology.is_relay():
-            return []
-        links = [self.topology.feeder(), *self.topology.followers()]
-        return self._send([n for n in links if n and n != sender], "", marks)
-
-    def _send(self, nodes, root, marks):
+    def _spread(self, root, marks, sender):
         if not marks:
             return []
-        message = CrashMarks(self.summarize(), root, marks)
-        records = [self.topology.table.get(node) for node in nodes]
-        return [Send(r.address, r.region, message) for r in records]
+        in_tree = CrashMarks(self.summarize(), root, marks)
+        across = CrashMarks(self.summarize(), "", marks)
+        sends = self.topology.tree_sends(root, in_tree)
+        return sends + self.topology.link_sends(across, sender)
 
 
 def fingerprint_of(method, target, body):
--- a/packages/cyclamentally/cyclamentally/tests/support.py
+++ b/packages/cyclamentally/cyclamentally/tests/support.py
@@ -6,6 +6,8 @@
 from cyclamentally.bodies import JsonBodyCodec
 from cyclamentally.control import TICK_S, ControlPlane, Identity
 from cyclamentally.effects import Send, WatchPlatform
+from cyclamentally.model import Upstream
+from cyclamentally.snapshot import Location
 from cyclamentally.versions import ProfileVersion
 
 HOME = "gogledd"
@@ -27,6 +29,12 @@
     return ProfileVersion(name, number, deleted, "ann", f"op-{number}", body)
 
 
+def location_of(number, domain="d-1", region="r", slots=2, draining=False):
+    address = f"10.0.0.{number}:80"
+    upstream = Upstream("standings", "night", address, slots, 120, draining)
+    return Location(upstream, f"n{number}", domain, region)
+
+
 class FakePlatform:
     """Versions by name; planes that watch get each change at once."""
 
--- a/packages/cyclamentally/cyclamentally/tests/test_admission.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_admission.py
@@ -2,22 +2,16 @@
 
 import pytest
 
-from cyclamentally.admission import Admission, Call, Denied, Granted
+from cyclamentally.admission import Admission, Call, Denied, Granted, Lease
 from cyclamentally.errors import Kind
-from cyclamentally.model import Upstream
 from cyclamentally.profiles import ServicePolicy
 from cyclamentally.routing import NearestChooser, RandomChooser, RoundRobinChooser
-from cyclamentally.snapshot import Cluster, Location, Snapshot
+from cyclamentally.snapshot import Cluster, Snapshot
+from cyclamentally.tests.support import location_of
 
 NOW = 100.0
 
 
-def location_of(number, domain="d-1", region="r", slots=2, draining=False):
-    address = f"10.0.0.{number}:80"
-    upstream = Upstream("standings", "night", address, slots, 120, draining)
-    return Location(upstream, f"n{number}", domain, region)
-
-
 def snapshot_of(*locations, **numbers):
     policy = ServicePolicy("standings", {"slow_start_ms": 0, **numbers})
     cluster = Cluster("standings", "night", policy, list(locations))
@@ -149,8 +143,6 @@
 
 
 def lease_of(endpoint):
-    from cyclamentally.admission import Lease
-
     return Lease("standings", endpoint, False)
 
 
--- a/packages/cyclamentally/cyclamentally/tests/test_idempotency.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_idempotency.py
@@ -201,10 +201,8 @@
     owner.claim(request_of(key), NOW)
     owner.on_result(result_of(key, "answered"), NOW)
     for number in range(MAX_KEYS):
-        entry = parse_key(key_at(NOW + 1 + number // 100, number), NOW + 1_000).value
-        owner.claims.setdefault(entry.text, type(owner.claims[key])(entry)) if len(
-            owner.claims
-        ) < MAX_KEYS else owner._add(entry)
+        entry = parse_key(key_at(NOW + 1, number), NOW + 1).value
+        owner.add(entry)
     assert key not in owner.claims
     assert owner.claim(request_of(key, "t2"), NOW).kind == Kind.OUTCOME_UNKNOWN
 
--- a/packages/cyclamentally/cyclamentally/tests/test_retries.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_retries.py
@@ -4,7 +4,7 @@
 from cyclamentally.profiles import ServicePolicy
 from cyclamentally.retries import Failure, RequestLife
 from cyclamentally.snapshot import Route
-from cyclamentally.tests.test_admission import location_of
+from cyclamentally.tests.support import location_of
 
 NOW = 100.0
 NOT_RUN = [Kind.UPSTREAM_UNREACHABLE, Kind.UPSTREAM_OVERLOADED]
--- a/packages/cyclamentally/cyclamentally/topology.py
+++ b/packages/cyclamentally/cyclamentally/topology.py
@@ -1,5 +1,6 @@
 """Who fetches, who follows whom, and the push tree of a failure domain."""
 
+from cyclamentally.effects import Send
 from cyclamentally.hashing import rank_by_rendezvous
 
 RELAYS_PER_DOMAIN = 2
@@ -82,6 +83,29 @@
         first = position * TREE_FANOUT + 1
         return order[first : first + TREE_FANOUT]
 
+    def tree_sends(self, root, message):
+        """Return the effects that forward a message in the tree of a root."""
+        return self._sends(self.children(root), message)
+
+    def link_sends(self, message, sender):
+        """Return the effects that pass a message on between relays.
+
+        Parameters
+        ----------
+        message : object
+            Message to send.
+        sender : str
+            Node that it came from, left out; empty if it starts here.
+        """
+        if not self.is_relay():
+            return []
+        links = [self.feeder(), *self.followers()]
+        return self._sends([n for n in links if n and n != sender], message)
+
+    def _sends(self, nodes, message):
+        records = [self.table.get(node) for node in nodes]
+        return [Send(r.address, r.region, message) for r in records]
+
     def _cached(self, key, find):
         if self.generation != self.table.generation:
             self.cache.clear()
