--- a/Makefile
+++ b/Makefile
@@ -55,3 +55,6 @@
 
 bench-capacity: install
 	$(BIN)/python bench/capacity.py
+
+plot: bench-install
+	$(BIN)/python bench/plot.py
--- a/packages/cyclamentally-node/cyclamentally_node/node.py
+++ b/packages/cyclamentally-node/cyclamentally_node/node.py
@@ -138,6 +138,8 @@
 
     def close(self):
         """Refuse new requests, finish those in flight, then stop all tasks."""
+        if self.stopped.is_set():
+            return
         self.view.is_stopping = True
         self.stopped.set()
         self.control.ask(StopNode())
--- a/packages/cyclamentally-node/cyclamentally_node/platform_task.py
+++ b/packages/cyclamentally-node/cyclamentally_node/platform_task.py
@@ -1,10 +1,11 @@
 """The task that owns the connection to the platform."""
 
+from contextlib import suppress
 from random import Random
 from threading import Timer
 
 from absl.logging import get_absl_logger
-from pykka import ThreadingActor
+from pykka import ActorDeadError, ThreadingActor
 
 from cyclamentally.effects import Count
 from cyclamentally.errors import Refused
@@ -140,10 +141,15 @@
         self._tell_later(Poll())
 
     def _tell_later(self, message):
-        timer = Timer(self.backoff.next_delay(), self.actor_ref.tell, [message])
+        timer = Timer(self.backoff.next_delay(), self._tell_self, [message])
         timer.daemon = True
         timer.start()
 
+    def _tell_self(self, message):
+        """Send a message to this task unless it has been stopped meanwhile."""
+        with suppress(ActorDeadError):
+            self.actor_ref.tell(message)
+
     def _publish_seed(self, slot):
         key = f"{SEED_PREFIX}{self.domain}/{slot}"
         entry = self.platform.read(key)
--- /dev/null
+++ b/packages/cyclamentally-node/cyclamentally_node/tests/test_node.py
@@ -0,0 +1,159 @@
+"""One whole node: start, serve, hostile bytes, graceful stop."""
+
+from random import Random
+from socket import create_connection
+from threading import Event, Thread
+from time import monotonic
+
+import pytest
+from cyclamentally_platform.client import HttpPlatform
+from cyclamentally_platform.stored import JsonStoredCodec
+from msgspec.json import encode
+from pynng import Push0
+from urllib3 import PoolManager
+
+from cyclamentally.bodies import JsonBodyCodec
+from cyclamentally.publishing import Publisher
+from cyclamentally_node.node import Node
+from cyclamentally_node.settings import SettingsReader
+from cyclamentally_node.tests.support import WHOLE
+from cyclamentally_testing.fleet import free_ports
+from cyclamentally_testing.platform_server import PlatformServer
+
+LIMIT_S = 30.0
+SEED = 20261204
+DOCUMENT = {
+    "services": {"standings": {"timeout_ms": 20_000}},
+    "routes": {"/standings": {"service": "standings"}},
+}
+
+
+class Fixture:
+    """A node with its platform, and a client of both."""
+
+    def __init__(self):
+        self.pool = PoolManager(retries=False, timeout=LIMIT_S)
+        self.server = PlatformServer()
+        self.server.start()
+        peers, calls, admin = (f"127.0.0.1:{port}" for port in free_ports(3))
+        self.peers, self.calls, self.admin = peers, calls, admin
+        document = {
+            "node": {"name": "n-1", "domain": "d-1", "region": "r-1"},
+            "listen": {"peers": peers, "calls": calls, "admin": admin},
+            "platform": {
+                "url": self.server.url,
+                "region": "r-1",
+                "watch_ms": 200,
+            },
+        }
+        self.node = Node(SettingsReader(document).read().value)
+        self.node.start()
+
+    def close(self):
+        self.node.close()
+        self.server.close()
+        self.pool.clear()
+
+    def put(self):
+        codec = JsonBodyCodec()
+        platform = HttpPlatform(self.server.url, 3.0)
+        stored = JsonStoredCodec(codec)
+        Publisher(platform, stored, codec, "ann", lambda: "op").put("night", DOCUMENT)
+        platform.close()
+
+    def announce(self, address, **changes):
+        body = {
+            "service": "standings",
+            "profile": "night",
+            "slots": 4,
+            "connections": 40,
+            "draining": False,
+        } | changes
+        url = f"http://{self.admin}/upstreams/{address}"
+        return self.pool.request("PUT", url, body=encode(body)).status
+
+    def get(self, path="/standings"):
+        return self.pool.request("GET", f"http://{self.calls}{path}")
+
+    def wait_for(self, upstream, status):
+        end = monotonic() + LIMIT_S
+        while self.get().status != status:
+            assert monotonic() < end
+            self.announce(upstream.address)
+            Event().wait(0.1)
+
+    def metrics(self):
+        return self.pool.request("GET", f"http://{self.admin}/metrics").data.decode()
+
+
+@pytest.fixture
+def running():
+    fixture = Fixture()
+    yield fixture
+    fixture.close()
+
+
+def test_node_serves_and_stops_without_cutting_a_request(running, make_upstream):
+    release = Event()
+    upstream = make_upstream([WHOLE])
+    running.put()
+    running.wait_for(upstream, 200)
+    upstream.script = [[release, WHOLE]]
+    upstream.received.clear()
+    answers = []
+    caller = Thread(target=lambda: answers.append(running.get()))
+    caller.start()
+    assert upstream.received.wait(LIMIT_S)
+    stopping = Thread(target=running.node.close)
+    stopping.start()
+    end = monotonic() + LIMIT_S
+    while not running.node.view.is_stopping:
+        assert monotonic() < end
+        Event().wait(0.01)
+    refused = running.get()
+    assert refused.status == 503
+    assert refused.headers["Cyclamentally-Reason"] == "stopping"
+    assert refused.headers["Cyclamentally-Ran"] == "no"
+    release.set()
+    caller.join()
+    stopping.join()
+    assert (answers[0].status, answers[0].data) == (200, b"good")
+
+
+def test_withdrawn_upstream_takes_its_route_along(running, make_upstream):
+    upstream = make_upstream([WHOLE])
+    running.put()
+    running.wait_for(upstream, 200)
+    url = f"http://{running.admin}/upstreams/{upstream.address}"
+    running.pool.request("DELETE", url)
+    end = monotonic() + LIMIT_S
+    while running.get().status != 404:
+        assert monotonic() < end
+        Event().wait(0.05)
+
+
+def test_hostile_bytes_on_every_port_harm_nothing(running, make_upstream):
+    upstream = make_upstream([WHOLE])
+    running.put()
+    running.wait_for(upstream, 200)
+    random = Random(SEED)
+    for address in (running.peers, running.calls, running.admin):
+        for _ in range(10):
+            host, port = address.split(":")
+            with create_connection((host, int(port))) as connection:
+                connection.sendall(random.randbytes(random.randint(1, 3_000)))
+    running.announce(upstream.address)
+    assert running.get().data == b"good"
+    assert running.announce("not-an-address") == 400
+    assert running.announce("127.0.0.1:9", slots="many") == 400
+    assert running.announce("127.0.0.1:9", service="Caps") == 400
+
+
+def test_malformed_peer_message_is_counted(running):
+    with Push0(dial=f"tcp://{running.peers}") as peer:
+        peer.send(b"z rubbish")
+    end = monotonic() + LIMIT_S
+    wanted = 'messages_refused_total{reason="message_malformed"} 1'
+    while wanted not in running.metrics():
+        assert monotonic() < end
+        Event().wait(0.05)
