--- a/packages/cyclamentally-cli/cyclamentally_cli/main.py
+++ b/packages/cyclamentally-cli/cyclamentally_cli/main.py
@@ -1,6 +1,7 @@
 """Entry point of the operators' tool."""
 
 import sys
+from typing import Literal
 
 from cyclopts import App
 from msgspec.json import encode
@@ -24,6 +25,13 @@
 app.command(profile_app)
 
 
+@app.command
+def completion(shell: Literal["bash", "zsh", "fish"]) -> int:
+    """Print the completion script of a shell."""
+    print(app.generate_completion(shell=shell))
+    return 0
+
+
 @app.command
 def status(*, json: Json = False, settings: SettingsPath = "") -> int:
     """Show for each failure domain how many nodes run the newest versions."""
--- a/packages/cyclamentally-cli/cyclamentally_cli/tests/test_main.py
+++ b/packages/cyclamentally-cli/cyclamentally_cli/tests/test_main.py
@@ -1,4 +1,5 @@
 from json import loads
+from re import findall
 from subprocess import run
 from sys import executable
 
@@ -98,3 +99,11 @@
     result = operate("status")
     assert result.returncode == 4
     assert "node_unreachable" in result.stderr
+
+
+@pytest.mark.parametrize("shell", ["bash", "zsh", "fish"])
+def test_completion_names_the_commands(shell):
+    command = [executable, "-m", "cyclamentally_cli.main", "completion", shell]
+    result = run(command, capture_output=True, text=True, check=False)
+    assert result.returncode == 0
+    assert {"profile", "put", "status"} <= set(findall(r"[a-z]+", result.stdout))
