Give the front tests a ticker

Change: the stack runs a Ticker for admission, as the node does. Conclusion: test stack and node are alike again.

--- a/packages/cyclamentally-node/cyclamentally_node/tests/support.py
+++ b/packages/cyclamentally-node/cyclamentally_node/tests/support.py
@@ -27,10 +27,12 @@
 from cyclamentally_node.meters import Meters
 from cyclamentally_node.outbox import Outbox
 from cyclamentally_node.runner import RequestRunner
+from cyclamentally_node.ticker import Ticker
 from cyclamentally_node.upstream_client import UpstreamClient
 
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood"
 LIMIT_S = 10.0
+TICK_S = 0.05
 
 
 def answer(body, status="200 OK", headers=""):
@@ -139,6 +141,8 @@
         self.admission = AdmissionTask.start(
             Admission(self.chooser), monotonic, self.meters
         )
+        self.ticker = Ticker(TICK_S, [self.admission])
+        self.ticker.start()
         self.claims = self._start_claims()
         self.pool = ConnectionPool(monotonic)
         client = UpstreamClient(self.pool, monotonic)
@@ -156,6 +160,7 @@
 
     def close(self):
         self.caller.close()
+        self.ticker.close()
         self.server.close()
         for task in (self.admission, self.claims, self.control, self.meters):
             task.stop()
