--- a/packages/cyclamentally-testing/cyclamentally_testing/baselines.py
+++ b/packages/cyclamentally-testing/cyclamentally_testing/baselines.py
@@ -1,9 +1,13 @@
-"""Other ways of distribution, to compare the product with."""
+"""Other ways of distribution and of choice, to compare the product with."""
 
 from cyclamentally.control import ControlPlane
 from cyclamentally.distribution import Distribution
 from cyclamentally.effects import Send, WatchPlatform
+from cyclamentally.hashing import hash_text
 from cyclamentally.messages import ChangePush
+from cyclamentally.routing import NearestChooser
+
+GROUPS = 3
 
 
 class WatchingPlane(ControlPlane):
@@ -81,3 +85,30 @@
     def on_push(self, push, now):
         """Install pushed versions and forward nothing."""
         return self._restore(push.changes).effects
+
+
+class GroupedChooser(NearestChooser):
+    """Preferred and fallback groups of upstreams for each class of requests.
+
+    Every third upstream is preferred by bulk requests, the others by lookups;
+    a request falls back to the other group only if its own has no room. After
+    "Replica Group Based Workload Isolation (StarTree Cloud)".
+    """
+
+    __slots__ = ("fallbacks",)
+
+    def __init__(self, domain, region, random):
+        super().__init__(domain, region, random)
+        self.fallbacks = 0
+
+    def choose(self, endpoints, call_class):
+        """Return an endpoint of the preferred group, else of the other."""
+        is_bulk = call_class == "bulk"
+        preferred = [e for e in endpoints if _is_bulk_group(e) == is_bulk]
+        if not preferred:
+            self.fallbacks += 1
+        return super().choose(preferred or endpoints, call_class)
+
+
+def _is_bulk_group(endpoint):
+    return hash_text(endpoint.address) % GROUPS == 0
--- a/packages/cyclamentally-testing/cyclamentally_testing/chooser_node.py
+++ b/packages/cyclamentally-testing/cyclamentally_testing/chooser_node.py
@@ -6,9 +6,10 @@
 
 import sys
 
-from cyclamentally.routing import GroupedChooser, RandomChooser, RoundRobinChooser
+from cyclamentally.routing import RandomChooser, RoundRobinChooser
 from cyclamentally_node.daemon import run
 from cyclamentally_node.node import Node, NodeParts, choose_nearest
+from cyclamentally_testing.baselines import GroupedChooser
 
 
 def choose_randomly(settings, random):
--- a/packages/cyclamentally/cyclamentally/routing.py
+++ b/packages/cyclamentally/cyclamentally/routing.py
@@ -2,8 +2,6 @@
 
 from abc import ABC, abstractmethod
 
-from cyclamentally.hashing import hash_text
-
 SAMPLES = 2
 
 
@@ -77,32 +75,5 @@
         return regional or endpoints
 
 
-class GroupedChooser(NearestChooser):
-    """Preferred and fallback groups of upstreams for each class of requests.
-
-    Every third upstream is preferred by bulk requests, the others by lookups;
-    a request falls back to the other group only if its own has no room. After
-    "Replica Group Based Workload Isolation (StarTree Cloud)".
-    """
-
-    __slots__ = ("fallbacks",)
-
-    def __init__(self, domain, region, random):
-        super().__init__(domain, region, random)
-        self.fallbacks = 0
-
-    def choose(self, endpoints, call_class):
-        """Return an endpoint of the preferred group, else of the other."""
-        is_bulk = call_class == "bulk"
-        preferred = [e for e in endpoints if _is_bulk_group(e) == is_bulk]
-        if not preferred:
-            self.fallbacks += 1
-        return super().choose(preferred or endpoints, call_class)
-
-
-def _is_bulk_group(endpoint):
-    return hash_text(endpoint.address) % 3 == 0
-
-
 def _cost(endpoint):
     return endpoint.cost
