Show how stale a domain is; throw random input at every codec and checker

Cause: status could not tell a domain that is current from one that hears nothing; waiting for a change had no test; only the peer codec met random bytes. Change: relays report the time since new versions would have reached them; a table of cases for waiting with a fake clock; property tests for profiles, settings, bodies, stored values, keys, announcements and requests. Conclusion: staleness grows in a cut-off domain and returns to 0 on healing.

--- a/packages/cyclamentally-cli/cyclamentally_cli/main.py
+++ b/packages/cyclamentally-cli/cyclamentally_cli/main.py
@@ -61,6 +61,8 @@
     )
     for name, version in sorted(view.versions.items()):
         print(f"    {name} version {version}")
+    if view.stale_ms:
+        print(f"    no news from the platform for {view.stale_ms / 1_000:.1f} s")
     if view.behind:
         print(f"    behind: {', '.join(view.behind)}")
     for entry in view.refused:
--- a/packages/cyclamentally-cli/cyclamentally_cli/node_client.py
+++ b/packages/cyclamentally-cli/cyclamentally_cli/node_client.py
@@ -27,6 +27,8 @@
         Versions that nodes refuse, with the reason.
     versions : dict of str to int
         Version in force by profile.
+    stale_ms : int
+        Time since new versions would have reached the domain, ms.
     """
 
     __slots__ = (
@@ -37,9 +39,12 @@
         "behind",
         "refused",
         "versions",
+        "stale_ms",
     )
 
-    def __init__(self, domain, region, live, current, behind, refused, versions):
+    def __init__(
+        self, domain, region, live, current, behind, refused, versions, stale_ms
+    ):
         self.domain = domain
         self.region = region
         self.live = live
@@ -47,6 +52,7 @@
         self.behind = behind
         self.refused = refused
         self.versions = versions
+        self.stale_ms = stale_ms
 
 
 class NodeClient:
@@ -101,4 +107,5 @@
         entry["behind"],
         entry["refused"],
         versions,
+        entry["stale_ms"],
     )
--- a/packages/cyclamentally-cli/cyclamentally_cli/waiting.py
+++ b/packages/cyclamentally-cli/cyclamentally_cli/waiting.py
@@ -17,14 +17,19 @@
         Source of the status.
     report : callable
         Takes the number of nodes in force and the number of live nodes.
+    clock : callable
+        Returns the time in seconds.
+    pause : callable
+        Takes a number of seconds and waits.
     """
 
-    __slots__ = ("client", "pause", "report")
+    __slots__ = ("client", "clock", "pause", "report")
 
-    def __init__(self, client, report):
+    def __init__(self, client, report, clock=monotonic, pause=None):
         self.client = client
         self.report = report
-        self.pause = Event()
+        self.clock = clock
+        self.pause = pause or Event().wait
 
     def wait(self, version, timeout):
         """Wait for a `ProfileVersion`.
@@ -41,18 +46,18 @@
         Done or Refused
             ``Done`` holds the seconds waited.
         """
-        started = monotonic()
+        started = self.clock()
         detail = "no status"
-        while monotonic() - started < timeout:
+        while self.clock() - started < timeout:
             status = self.client.status()
             if isinstance(status, Done):
                 missing = self._missing(status.value, version)
                 if not missing:
-                    return Done(monotonic() - started)
+                    return Done(self.clock() - started)
                 detail = f"not in force in {', '.join(missing)}"
             else:
                 detail = status.detail
-            self.pause.wait(POLL_S)
+            self.pause(POLL_S)
         return Refused(Kind.NOT_IN_FORCE, f"{version.name} {version.version}: {detail}")
 
     def _missing(self, views, version):
--- a/packages/cyclamentally-node/cyclamentally_node/admin.py
+++ b/packages/cyclamentally-node/cyclamentally_node/admin.py
@@ -81,7 +81,7 @@
         if method == "DELETE":
             self.control.ask(Withdraw(address))
             return _json_answer({})
-        upstream = _read_upstream(address, environ)
+        upstream = read_upstream(address, environ)
         if isinstance(upstream, Refused):
             return refusal_answer(upstream)
         outcome = self.control.ask(Announce(upstream.value))
@@ -90,7 +90,16 @@
         return _json_answer({})
 
 
-def _read_upstream(address, environ):
+def read_upstream(address, environ):
+    """Return ``Done`` with the `Upstream` of an announcement, or ``Refused``.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:port`` of the upstream.
+    environ : dict
+        WSGI environment with the body.
+    """
     body = environ["wsgi.input"].read(MAX_BODY_BYTES + 1)
     if len(body) > MAX_BODY_BYTES:
         return Refused(Kind.BODY_TOO_LARGE, f"over {MAX_BODY_BYTES} bytes")
--- /dev/null
+++ b/packages/cyclamentally-node/cyclamentally_node/tests/test_hostile.py
@@ -0,0 +1,126 @@
+"""Random and hostile input to every codec and checker."""
+
+from io import BytesIO
+
+from cyclamentally_platform.stored import JsonStoredCodec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cyclamentally.bodies import JsonBodyCodec
+from cyclamentally.errors import Done, Refused
+from cyclamentally.keys import parse_key
+from cyclamentally.profiles import SERVICE_LIMITS, check_profile
+from cyclamentally_node.admin import read_upstream
+from cyclamentally_node.exchange import read_request
+from cyclamentally_node.peer_codec import COMPRESSED, PLAIN, decode_message
+from cyclamentally_node.settings import DEFAULT_SETTINGS, SettingsReader
+
+SETTINGS = settings(max_examples=150, derandomize=True, deadline=None, database=None)
+OUTCOME = Done | Refused
+BODY = b'{"routes":{},"services":{"a":{}}}'
+
+scalars = st.one_of(
+    st.none(), st.booleans(), st.integers(), st.floats(), st.text(max_size=20)
+)
+documents = st.recursive(
+    scalars,
+    lambda inner: st.one_of(
+        st.lists(inner, max_size=4),
+        st.dictionaries(st.text(max_size=10), inner, max_size=4),
+    ),
+    max_leaves=12,
+)
+profile_like = st.fixed_dictionaries(
+    {},
+    optional={
+        "services": st.dictionaries(
+            st.sampled_from(["a", "b-1", "C", ""]),
+            st.dictionaries(st.sampled_from(sorted(SERVICE_LIMITS)), scalars),
+        )
+        | documents,
+        "routes": st.dictionaries(
+            st.sampled_from(["/", "/a", "b", "/c d"]),
+            st.fixed_dictionaries({"service": scalars | st.just("a")}) | documents,
+        )
+        | documents,
+    },
+)
+settings_like = st.dictionaries(
+    st.sampled_from(sorted({key.split(".")[0] for key in DEFAULT_SETTINGS})),
+    st.dictionaries(
+        st.sampled_from(sorted({key.split(".")[1] for key in DEFAULT_SETTINGS})),
+        documents,
+        max_size=5,
+    )
+    | scalars,
+)
+bytes_like = st.binary(max_size=300)
+
+
+@SETTINGS
+@given(profile_like | documents)
+def test_checker_answers_any_document(document):
+    outcome = check_profile("night", document)
+    assert isinstance(outcome, OUTCOME)
+    if isinstance(outcome, Done):
+        services = outcome.value.services
+        assert all(rule.service in services for rule in outcome.value.routes)
+        for policy in services.values():
+            for key, limit in SERVICE_LIMITS.items():
+                assert limit.low <= getattr(policy, key) <= limit.high
+
+
+@SETTINGS
+@given(settings_like | st.dictionaries(st.text(), documents))
+def test_settings_answer_any_document(document):
+    assert isinstance(SettingsReader(document).read(), OUTCOME)
+
+
+@SETTINGS
+@given(bytes_like)
+def test_codecs_answer_any_bytes(data):
+    codec = JsonBodyCodec()
+    outcomes = [
+        decode_message(data),
+        decode_message(PLAIN + data),
+        decode_message(COMPRESSED + data),
+        codec.parse(data),
+        codec.unpack(data),
+        codec.apply_delta(BODY, data),
+        codec.apply_delta(BODY, codec.pack(data)),
+        JsonStoredCodec(codec).decode("night", data),
+    ]
+    assert all(isinstance(outcome, OUTCOME) for outcome in outcomes)
+
+
+@SETTINGS
+@given(documents)
+def test_codecs_answer_any_json(document):
+    codec = JsonBodyCodec()
+    try:
+        data = codec.canonical(document)
+    except ValueError:
+        return
+    assert isinstance(codec.apply_delta(BODY, codec.pack(data)), OUTCOME)
+    assert isinstance(JsonStoredCodec(codec).decode("night", data), OUTCOME)
+    environ = {"wsgi.input": BytesIO(data)}
+    assert isinstance(read_upstream("10.0.0.1:1", environ), OUTCOME)
+
+
+@SETTINGS
+@given(st.text(max_size=80))
+def test_keys_answer_any_text(text):
+    assert isinstance(parse_key(text, 1_800_000_000_000), OUTCOME)
+
+
+@SETTINGS
+@given(st.text(max_size=30), st.text(max_size=30), st.binary(max_size=50))
+def test_requests_answer_any_environment(path, deadline, body):
+    environ = {
+        "REQUEST_METHOD": "POST",
+        "PATH_INFO": path.encode().decode("latin-1"),
+        "QUERY_STRING": "",
+        "HTTP_CYCLAMENTALLY_DEADLINE_MS": deadline,
+        "wsgi.input": BytesIO(body),
+    }
+    assert isinstance(read_request(environ, 40), OUTCOME)
--- a/packages/cyclamentally-node/cyclamentally_node/tests/test_peer_codec.py
+++ b/packages/cyclamentally-node/cyclamentally_node/tests/test_peer_codec.py
@@ -43,7 +43,7 @@
 
 
 def test_status_comes_back_equal(summary):
-    status = DomainStatus("d", "r", 3, 2, ["a"], [], ["night"], [4])
+    status = DomainStatus("d", "r", 3, 2, ["a"], [], ["night"], [4], 0)
     reply = StatusReply(summary, status)
     assert decode_message(encode_message(reply)) == Done(reply)
 
--- a/packages/cyclamentally/cyclamentally/control.py
+++ b/packages/cyclamentally/cyclamentally/control.py
@@ -117,7 +117,7 @@
         self.distribution = Distribution(self.versions, *shared, random, now)
         self.relay = Relay(self.membership, *shared, random, now)
         self.reporter = Reporter(self.versions, *shared, random, now)
-        self.board = StatusBoard(self.versions, *shared)
+        self.board = StatusBoard(self.versions, *shared, self.relay)
         self.life = NodeLife(self.membership, self.distribution, seeds, random, now)
         self.quarantine = Quarantine(*shared)
         self.snapshot = EMPTY_SNAPSHOT
@@ -232,7 +232,7 @@
             Busy: self.distribution.on_busy,
             CrashMarks: self.quarantine.on_marks,
             Report: lambda m, now: self.board.on_report(m),
-            StatusRequest: lambda m, now: self.board.on_request(m),
+            StatusRequest: self.board.on_request,
             StatusReply: lambda m, now: self.board.on_reply(m),
         }
 
--- a/packages/cyclamentally/cyclamentally/model.py
+++ b/packages/cyclamentally/cyclamentally/model.py
@@ -173,6 +173,8 @@
         Profiles known to the relay.
     versions : list of int
         Installed version of each profile.
+    stale_ms : int
+        Time since new versions would have reached the relay, ms.
     """
 
     __slots__ = (
@@ -184,6 +186,7 @@
         "refused",
         "names",
         "versions",
+        "stale_ms",
     )
 
     def __init__(
@@ -196,6 +199,7 @@
         refused: list[RefusedVersion],
         names: list[str],
         versions: list[int],
+        stale_ms: int,
     ):
         self.domain = domain
         self.region = region
@@ -205,6 +209,7 @@
         self.refused = refused
         self.names = names
         self.versions = versions
+        self.stale_ms = stale_ms
 
 
 class KeptAnswer(Record):
--- a/packages/cyclamentally/cyclamentally/relays.py
+++ b/packages/cyclamentally/cyclamentally/relays.py
@@ -33,6 +33,7 @@
     __slots__ = (
         "alone_until",
         "deadline",
+        "fresh_at",
         "generation",
         "membership",
         "next_beat",
@@ -51,6 +52,7 @@
         self.state = self.chart.initial
         self.generation = -1
         self.deadline = 0.0
+        self.fresh_at = now
         self.random = random
         self.alone_until = now + ALONE_S
         self.next_beat = now
@@ -65,6 +67,8 @@
     def tick(self, now):
         """Run what is due."""
         effects = []
+        if self.is_fresh:
+            self.fresh_at = now
         if self._is_placed(now) and self.generation != self.topology.table.generation:
             self.generation = self.topology.table.generation
             effects += self._fire("roles_changed", now)
@@ -80,6 +84,10 @@
             effects += self._contact()
         return effects
 
+    def staleness(self, now):
+        """Return for how long new versions may have been missed, in seconds."""
+        return 0.0 if self.is_fresh else now - self.fresh_at
+
     def on_beat(self, beat, now):
         """Answer a beat; a fresh one of the feeder ends the own watch."""
         sender = beat.sender
--- a/packages/cyclamentally/cyclamentally/reports.py
+++ b/packages/cyclamentally/cyclamentally/reports.py
@@ -10,6 +10,7 @@
 REPORT_PERIOD_S = 30.0
 COLLECT_TIMEOUT_S = 0.8
 MAX_NAMED_NODES = 10
+MS = 1_000
 
 
 class Reporter:
@@ -96,21 +97,25 @@
         Roles.
     summarize : callable
         Returns the `Summary` of this node.
+    relay : Relay
+        Source of the staleness.
     """
 
     __slots__ = (
         "deadline",
         "progress",
+        "relay",
         "replies",
         "summarize",
         "topology",
         "versions",
     )
 
-    def __init__(self, versions, topology, summarize):
+    def __init__(self, versions, topology, summarize, relay):
         self.versions = versions
         self.topology = topology
         self.summarize = summarize
+        self.relay = relay
         self.progress = {}
         self.replies = {}
         self.deadline = None
@@ -120,9 +125,9 @@
         sender = report.sender
         self.progress[sender.node] = Progress(sender.versions, report.refused)
 
-    def on_request(self, request):
+    def on_request(self, request, now):
         """Answer with the status of the own domain."""
-        reply = StatusReply(self.summarize(), self.own_status())
+        reply = StatusReply(self.summarize(), self.own_status(now))
         return [Send(request.sender.address, request.sender.region, reply)]
 
     def on_reply(self, reply):
@@ -141,7 +146,7 @@
         for domain in self.topology.table.domains():
             for node in self.topology.relays(domain):
                 if node == own.node:
-                    self.replies[domain] = self.own_status()
+                    self.replies[domain] = self.own_status(now)
                     continue
                 record = self.topology.table.get(node)
                 request = StatusRequest(self.summarize())
@@ -159,11 +164,11 @@
         statuses = []
         for domain, region in self.topology.table.domains().items():
             live = len(self.topology.table.live(domain))
-            silent = DomainStatus(domain, region, live, 0, [], [], [], [])
+            silent = DomainStatus(domain, region, live, 0, [], [], [], [], 0)
             statuses.append(self.replies.get(domain, silent))
         return statuses
 
-    def own_status(self):
+    def own_status(self, now):
         """Return the status of the own domain."""
         own = self.topology.table.own_record
         nodes = [record.node for record in self.topology.table.live(own.domain)]
@@ -189,6 +194,7 @@
             refused[:MAX_NAMED_NODES],
             list(installed),
             list(installed.values()),
+            int(self.relay.staleness(now) * MS),
         )
 
     def _forget(self, nodes):
--- a/packages/cyclamentally/cyclamentally/tests/test_control.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_control.py
@@ -354,6 +354,23 @@
         assert status.versions == [1]
 
 
+def test_status_shows_how_stale_a_cut_off_domain_is(fleet):
+    assert fleet.planes["de-1-a"].board.own_status(fleet.now).stale_ms == 0
+    cut_domain(fleet)
+    fleet.run(10)
+    relays = [
+        plane
+        for plane in fleet.planes.values()
+        if plane.identity.domain == DOMAIN and plane.topology.is_relay()
+    ]
+    for plane in relays:
+        assert 5_000 <= plane.board.own_status(fleet.now).stale_ms <= 10_500
+    heal(fleet)
+    fleet.run(3)
+    for plane in relays:
+        assert plane.board.own_status(fleet.now).stale_ms == 0
+
+
 def test_status_names_a_domain_that_does_not_answer(fleet):
     cut_domain(fleet)
     plane = fleet.planes["gogledd-1-a"]
