Refuse at once while every upstream sheds

Cause: since upstreams that shed are paused, calls of a full outage waited in the queue for up to queue_wait_ms; 16 threads of a node were all waiting, and the outage part of the call bench did not end within 100 s. Change: if every upstream is paused for more than 0.1 s, the call is refused as upstream_overloaded (not run); shorter pauses are waited out.

--- a/bench/calls.py
+++ b/bench/calls.py
@@ -1,4 +1,4 @@
-"""Measure calls through nodes against baselines, in one run.
+"""Measure calls through nodes against baselines; each part is one run.
 
 Latency: the same load goes to an upstream directly, through a bare
 pass-through and through a node. Faults: nodes with different ways to choose
@@ -278,22 +278,18 @@
 
 
 def main():
-    """Measure everything and write the result; ``latency`` stops after that."""
-    result = {"latency": measure_latency()}
-    print(json.dumps(result), flush=True)
-    if "latency" in argv:
-        return
-    result["outage"] = measure_outage()
-    print(json.dumps(result["outage"]), flush=True)
-    result["faults"] = []
-    for chooser in ("nearest", "random", "robin"):
-        result["faults"].append(measure_faults(chooser))
-        print(json.dumps(result["faults"][-1]), flush=True)
-    result["isolation"] = []
-    for chooser in ("nearest", "grouped"):
-        result["isolation"].append(measure_isolation(chooser))
-        print(json.dumps(result["isolation"][-1]), flush=True)
-    RESULT.write_text(json.dumps(result, indent=2) + "\n")
+    """Measure the parts named by the arguments, all of them without any."""
+    parts = {
+        "latency": measure_latency,
+        "outage": measure_outage,
+        "faults": lambda: [measure_faults(c) for c in ("nearest", "random", "robin")],
+        "isolation": lambda: [measure_isolation(c) for c in ("nearest", "grouped")],
+    }
+    result = json.loads(RESULT.read_text()) if RESULT.exists() else {}
+    for name in argv[1:] or parts:
+        result[name] = parts[name]()
+        print(json.dumps({name: result[name]}), flush=True)
+        RESULT.write_text(json.dumps(result, indent=2) + "\n")
 
 
 if __name__ == "__main__":
--- a/packages/cyclamentally/cyclamentally/admission.py
+++ b/packages/cyclamentally/cyclamentally/admission.py
@@ -12,6 +12,8 @@
 LOOKUPS_PER_BULK = 4
 BUDGET_CAPACITY = 10.0
 BUDGET_START = 3.0
+SHORT_PAUSE_S = 0.1
+UNUSABLE = ("draining", "gone")
 MS = 1_000.0
 
 
@@ -128,9 +130,17 @@
 
     def is_usable(self):
         """Return whether any upstream may get requests now or soon."""
-        usable = (e.state not in ("draining", "gone") for e in self.endpoints.values())
+        usable = (e.state not in UNUSABLE for e in self.endpoints.values())
         return any(usable)
 
+    def is_overloaded(self, now):
+        """Return whether every upstream is paused for long.
+
+        To wait then would hold threads that requests to other services need.
+        """
+        states = [e for e in self.endpoints.values() if e.state not in UNUSABLE]
+        return all(e.paused_until - now > SHORT_PAUSE_S for e in states)
+
     def enqueue(self, call, now):
         """Queue a request; return the refusal if there is no place."""
         queue = self.queues[call.call_class]
@@ -258,6 +268,9 @@
         endpoint = desk.find_room(call, now)
         if endpoint is not None:
             return self._grant(call, endpoint, now)
+        if desk.is_overloaded(now):
+            detail = "every upstream sheds requests"
+            return self._deny(call, Kind.UPSTREAM_OVERLOADED, detail)
         refusal = desk.enqueue(call, now)
         if refusal is not None:
             return self._deny(call, refusal.kind, refusal.detail)
--- a/packages/cyclamentally/cyclamentally/tests/test_admission.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_admission.py
@@ -292,3 +292,21 @@
     warm(*[location_of(n, slots=10) for n in range(1, 4)])
     chosen = serve(admission, {"n1": 0.005, "n2": 0.005, "n3": 0.4})
     assert 1 <= chosen["n3"] <= 20
+
+
+def test_requests_do_not_wait_while_every_upstream_sheds(admission, warm):
+    warm(location_of(1), location_of(2))
+    for endpoint in endpoints(admission).values():
+        endpoint.overload(NOW)
+    assert grants(admission, 1) == []
+    for endpoint in endpoints(admission).values():
+        for _ in range(3):
+            endpoint.overload(NOW)
+    (denied,) = admission.request(call_of(9), NOW)
+    assert denied.refusal.kind == Kind.UPSTREAM_OVERLOADED
+    (granted,) = [
+        e
+        for e in admission.request(call_of(10, deadline=NOW + 9), NOW + 3)
+        if e.number == 10
+    ]
+    assert isinstance(granted, Granted)
