Test the link to the platform against a scripted service

Cause: outages and missed events of the watch were covered by fakes of the decisions only, not by the task that owns the link. Change: four cases: a watch goes on from its cursor, everything is read again after an outage, a malformed value does not hide others, seeds are retried.

--- /dev/null
+++ b/packages/cyclamentally-node/cyclamentally_node/tests/test_platform_task.py
@@ -0,0 +1,152 @@
+"""Outages, missed events and malformed values on the link to the platform."""
+
+from threading import Event
+
+import pytest
+from cyclamentally_platform.stored import JsonStoredCodec
+from pykka import ThreadingActor
+
+from cyclamentally.bodies import JsonBodyCodec
+from cyclamentally.errors import Done, Kind, Refused
+from cyclamentally.platform import Entry, Listing, Platform
+from cyclamentally.publishing import StoredProfile
+from cyclamentally.versions import ProfileVersion
+from cyclamentally_node.events import (
+    Attach,
+    PlatformState,
+    PlatformVersions,
+    ReadSeeds,
+    SeedsFound,
+    SetWatch,
+)
+from cyclamentally_node.platform_task import PlatformTask
+
+LIMIT_S = 10.0
+DOWN = Refused(Kind.PLATFORM_UNAVAILABLE, "down")
+CODEC = JsonStoredCodec(JsonBodyCodec())
+
+
+def entry(number):
+    version = ProfileVersion("night", number, False, "ann", "op", b"{}")
+    value = CODEC.encode(StoredProfile(version, []))
+    return Entry("profiles/night", value, number)
+
+
+def listing(*entries, cursor=0):
+    return Done(Listing(list(entries), cursor))
+
+
+class ScriptedPlatform(Platform):
+    """Answer calls in turn; then wait like a watch without news."""
+
+    def __init__(self, script):
+        self.script = script
+        self.calls = []
+        self.closed = Event()
+
+    def answer(self, *call):
+        self.calls.append(call)
+        if self.script:
+            return self.script.pop(0)
+        self.closed.wait(LIMIT_S)
+        return DOWN
+
+    def read(self, key):
+        return self.answer("read")
+
+    def read_all(self, prefix):
+        return self.answer("read_all")
+
+    def watch(self, prefix, cursor, wait):
+        return self.answer("watch", cursor)
+
+    def write(self, key, value, revision):
+        return self.answer("write")
+
+    def close(self):
+        self.closed.set()
+
+
+class Collector(ThreadingActor):
+    """Keep messages; `enough` is set when the wanted number has come."""
+
+    use_daemon_thread = True
+
+    def __init__(self, wanted, enough):
+        super().__init__()
+        self.wanted = wanted
+        self.enough = enough
+        self.messages = []
+
+    def on_receive(self, message):
+        if message == "messages":
+            return list(self.messages)
+        self.messages.append(message)
+        if len(self.messages) == self.wanted:
+            self.enough.set()
+        return None
+
+
+@pytest.fixture
+def play():
+    """Return a function that runs a script and returns calls and messages."""
+    started = []
+
+    def play(script, wanted, trigger):
+        enough = Event()
+        platform = ScriptedPlatform(script)
+        control = Collector.start(wanted, enough)
+        meters = Collector.start(0, Event())
+        task = PlatformTask.start(platform, CODEC, 1.0, "10.0.0.1:1", "d-1", meters)
+        started.append((platform, [task, control, meters]))
+        task.tell(Attach(control))
+        task.tell(trigger)
+        assert enough.wait(LIMIT_S)
+        return platform.calls, control.ask("messages")[:wanted]
+
+    yield play
+    for platform, tasks in started:
+        platform.close()
+        for task in tasks:
+            task.stop()
+
+
+def summary(messages):
+    lines = []
+    for message in messages:
+        if isinstance(message, PlatformState):
+            lines.append("up" if message.is_reachable else "down")
+        elif isinstance(message, PlatformVersions):
+            numbers = [version.version for version in message.versions]
+            lines.append((numbers, message.is_complete))
+        elif isinstance(message, SeedsFound):
+            lines.append(message.addresses)
+    return lines
+
+
+def test_watch_goes_on_from_the_cursor(play):
+    script = [listing(entry(1), cursor=5), listing(entry(2), cursor=6)]
+    calls, messages = play(script, 4, SetWatch(True))
+    assert calls[:2] == [("read_all",), ("watch", 5)]
+    assert summary(messages) == ["up", ([1], True), "up", ([2], False)]
+
+
+def test_everything_is_read_again_after_an_outage(play):
+    script = [listing(entry(1), cursor=5), DOWN, DOWN, listing(entry(3), cursor=9)]
+    calls, messages = play(script, 6, SetWatch(True))
+    assert calls[:4] == [("read_all",), ("watch", 5), ("read_all",), ("read_all",)]
+    expected = ["up", ([1], True), "down", "down", "up", ([3], True)]
+    assert summary(messages) == expected
+
+
+def test_malformed_value_does_not_hide_the_others(play):
+    broken = Entry("profiles/broken", b"{", 4)
+    _, messages = play([listing(broken, entry(1))], 2, SetWatch(True))
+    assert summary(messages) == ["up", ([1], True)]
+
+
+def test_seeds_are_read_until_it_works(play):
+    seeds = listing(Entry("seeds/d-1/0", b"10.0.0.2:1", 1))
+    calls, messages = play([DOWN, DOWN, seeds], 1, ReadSeeds())
+    assert len(calls) == 3
+    assert summary(messages) == [["10.0.0.2:1"]]
