Quarantine only a request that was sent again after a loss

Any request in flight at the loss of two upstreams within 600 s was refused everywhere, popular lookups included (the test with two marks from two nodes showed it as wanted). An answer cleared the mark only on the node that saw it; the test of that cleared every node by hand and so could not fail. The soak posts unique bodies and did not meet it. Change: a mark states whether the request was sent after an earlier loss was known, and only such a mark proves anything; clearings travel like marks. The test now clears on one node, and two new ones cover losses that come together and what the front end reports. The view of the front end says who sets its flags. Conclusion: losing a rack no longer refuses lookups. A service with a single upstream is not covered: reports of one address count once.

--- a/packages/cyclamentally-node/cyclamentally_node/control_task.py
+++ b/packages/cyclamentally-node/cyclamentally_node/control_task.py
@@ -172,7 +172,8 @@
         self._carry_out(self.plane.quarantine.report(marks, self.clock()))
 
     def _clear_suspect(self, message):
-        self._carry_out(self.plane.quarantine.succeed(message.fingerprint))
+        quarantine = self.plane.quarantine
+        self._carry_out(quarantine.succeed(message.fingerprint))
 
     def _publish_seed(self):
         """Store this node's address while it is a relay of its domain."""
--- a/packages/cyclamentally-node/cyclamentally_node/front.py
+++ b/packages/cyclamentally-node/cyclamentally_node/front.py
@@ -22,8 +22,8 @@
 class FrontView(Record):
     """What the front end reads once for each request.
 
-    The task `FrontWatcher` replaces its attributes; nobody changes the
-    objects that they hold.
+    `FrontWatcher` replaces the snapshot and the suspects, `Node` sets the two
+    flags, each once; nobody changes the objects that they hold.
 
     Parameters
     ----------
--- a/packages/cyclamentally-node/cyclamentally_node/runner.py
+++ b/packages/cyclamentally-node/cyclamentally_node/runner.py
@@ -70,14 +70,14 @@
         )
         answer = None
         while life.state not in life.chart.final:
-            answer = self._attempt(life, request, is_gone)
+            answer = self._attempt(life, request, suspects, is_gone)
         if life.state == "refused":
             return life.refusal
         if request.fingerprint in suspects.marked:
             self.control.tell(SuspectAnswered(request.fingerprint))
         return Done(answer)
 
-    def _attempt(self, life, request, is_gone):
+    def _attempt(self, life, request, suspects, is_gone):
         granted = self._admit(life)
         if isinstance(granted, Denied):
             self._count(life.deny(granted.refusal, self.clock()))
@@ -86,10 +86,11 @@
         address = granted.location.upstream.address
         outcome = self.client.send(request, address, life.deadline, is_gone)
         if isinstance(outcome, Refused):
+            is_repeat = life.losses > 0 or request.fingerprint in suspects.marked
             counts = life.fail(Failure(outcome, self.clock()))
             self.admission.tell(Finish(life.number, outcome.kind, counts))
             if outcome.kind == Kind.UPSTREAM_FAILED:
-                mark = CrashMark(request.fingerprint, address)
+                mark = CrashMark(request.fingerprint, address, is_repeat)
                 self.control.tell(CrashSeen(mark))
             return None
         counts = [*life.answer(), Count("requests_answered_total", life.call_class)]
--- a/packages/cyclamentally-node/cyclamentally_node/tests/test_front.py
+++ b/packages/cyclamentally-node/cyclamentally_node/tests/test_front.py
@@ -235,6 +235,20 @@
     assert len(upstream.requests) == 1
 
 
+def test_only_a_request_sent_again_after_a_loss_proves_itself(stack, make_upstream):
+    first, second = make_upstream([None]), make_upstream([None])
+    stack.route_to(first.address, second.address)
+    stack.request()
+    seen = [m for m in stack.control.ask("messages") if isinstance(m, CrashSeen)]
+    assert [entry.mark.is_repeat for entry in seen] == [False, True]
+    stack.view.suspects = SuspectsReplaced(
+        frozenset([seen[0].mark.fingerprint]), frozenset()
+    )
+    stack.request("GET")
+    seen = [m for m in stack.control.ask("messages") if isinstance(m, CrashSeen)]
+    assert seen[2].mark.is_repeat
+
+
 def keyed(stack, key, body=b"result"):
     return stack.request("POST", body=body, headers={"Idempotency-Key": key})
 
--- a/packages/cyclamentally/cyclamentally/call_messages.py
+++ b/packages/cyclamentally/cyclamentally/call_messages.py
@@ -75,11 +75,26 @@
 
 
 class CrashMarks(Record):
-    """Requests that were running when an upstream was lost."""
+    """Requests that were running when an upstream was lost.
 
-    __slots__ = ("sender", "root", "marks")
+    Parameters
+    ----------
+    sender : Summary
+        State of the sender.
+    root : str
+        Root of the push tree; empty outside of a tree.
+    marks : list of CrashMark
+        New marks.
+    cleared : list of int
+        Fingerprints of marked requests that were answered.
+    """
+
+    __slots__ = ("sender", "root", "marks", "cleared")
 
-    def __init__(self, sender: Summary, root: str, marks: list[CrashMark]):
+    def __init__(
+        self, sender: Summary, root: str, marks: list[CrashMark], cleared: list[int]
+    ):
         self.sender = sender
         self.root = root
         self.marks = marks
+        self.cleared = cleared
--- a/packages/cyclamentally/cyclamentally/model.py
+++ b/packages/cyclamentally/cyclamentally/model.py
@@ -249,10 +249,15 @@
         Hash of the request.
     address : str
         The upstream.
+    is_repeat : bool
+        Whether the request was sent after an earlier loss was known. Only
+        then does it prove anything: upstreams lost together take popular
+        requests with them.
     """
 
-    __slots__ = ("fingerprint", "address")
+    __slots__ = ("fingerprint", "address", "is_repeat")
 
-    def __init__(self, fingerprint: int, address: str):
+    def __init__(self, fingerprint: int, address: str, is_repeat: bool):
         self.fingerprint = fingerprint
         self.address = address
+        self.is_repeat = is_repeat
--- a/packages/cyclamentally/cyclamentally/quarantine.py
+++ b/packages/cyclamentally/cyclamentally/quarantine.py
@@ -14,10 +14,11 @@
 class Crash(Record):
     """The loss of an upstream, with the time in seconds."""
 
-    __slots__ = ("address", "now")
+    __slots__ = ("address", "is_repeat", "now")
 
-    def __init__(self, address, now):
+    def __init__(self, address, is_repeat, now):
         self.address = address
+        self.is_repeat = is_repeat
         self.now = now
 
 
@@ -51,8 +52,8 @@
         return effects
 
     def is_proved(self, crash):
-        """Whether this crash is one too many."""
-        return len(self.addresses | {crash.address}) >= CRASHES
+        """Whether the request was sent again and took another upstream."""
+        return crash.is_repeat and len(self.addresses | {crash.address}) >= CRASHES
 
     def note(self, crash):
         """Keep the upstream and start the time anew."""
@@ -65,7 +66,7 @@
 
 
 class Noted(Record):
-    """Effects of marks, and those marks that were new here."""
+    """Effects of marks or clearings, and those that were new here."""
 
     __slots__ = ("effects", "fresh")
 
@@ -101,20 +102,22 @@
         """Note crashes seen by this node and tell the others."""
         own = self.topology.table.own
         noted = self._note(marks, now)
-        return noted.effects + self._spread(own, noted.fresh, "")
+        return noted.effects + self._spread(own, noted.fresh, [], "")
 
     def on_marks(self, message, now):
         """Note crashes seen by another node and pass them on."""
+        cleared = self._clear(message.cleared)
         noted = self._note(message.marks, now)
         root = message.root or self.topology.table.own
-        return noted.effects + self._spread(root, noted.fresh, message.sender.node)
+        sender = message.sender.node
+        spread = self._spread(root, noted.fresh, cleared.fresh, sender)
+        return cleared.effects + noted.effects + spread
 
     def succeed(self, fingerprint):
-        """Note that a request was answered; clears its marks."""
-        suspect = self.suspects.get(fingerprint)
-        if suspect is None:
-            return []
-        return [*suspect.fire("success"), SuspectsChanged()]
+        """Note that a marked request was answered; tell the others."""
+        cleared = self._clear([fingerprint])
+        own = self.topology.table.own
+        return cleared.effects + self._spread(own, [], cleared.fresh, "")
 
     def tick(self, now):
         """Forget marks whose time is over."""
@@ -139,17 +142,26 @@
                 self.suspects[mark.fingerprint] = suspect
             if mark.address in suspect.addresses:
                 continue
-            effects += suspect.fire("crash", Crash(mark.address, now))
+            effects += suspect.fire("crash", Crash(mark.address, mark.is_repeat, now))
             fresh.append(mark)
         if fresh:
             effects.append(SuspectsChanged())
         return Noted(effects, fresh)
 
-    def _spread(self, root, marks, sender):
-        if not marks:
+    def _clear(self, fingerprints):
+        effects, fresh = [], []
+        for fingerprint in fingerprints:
+            suspect = self.suspects.get(fingerprint)
+            if suspect is not None and suspect.state == "marked":
+                effects += [*suspect.fire("success"), SuspectsChanged()]
+                fresh.append(fingerprint)
+        return Noted(effects, fresh)
+
+    def _spread(self, root, marks, cleared, sender):
+        if not marks and not cleared:
             return []
-        in_tree = CrashMarks(self.summarize(), root, marks)
-        across = CrashMarks(self.summarize(), "", marks)
+        in_tree = CrashMarks(self.summarize(), root, marks, cleared)
+        across = CrashMarks(self.summarize(), "", marks, cleared)
         sends = self.topology.tree_sends(root, in_tree)
         return sends + self.topology.link_sends(across, sender)
 
--- a/packages/cyclamentally/cyclamentally/tests/test_quarantine.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_quarantine.py
@@ -6,9 +6,9 @@
 POISON = fingerprint_of("GET", "/pairings/0", b"")
 
 
-def crash(fleet, node, address, fingerprint=POISON):
+def crash(fleet, node, address, is_repeat=True):
     plane = fleet.planes[node]
-    marks = [CrashMark(fingerprint, address)]
+    marks = [CrashMark(POISON, address, is_repeat)]
     fleet.carry_out(node, plane.quarantine.report(marks, fleet.now))
     fleet.step()
 
@@ -33,14 +33,23 @@
     assert states(fleet) == {False}
 
 
-def test_answer_in_between_clears_the_request(fleet):
+def test_answer_on_one_node_clears_the_request_on_all(fleet):
     crash(fleet, "de-1-a", "10.0.0.1:80")
-    for plane in fleet.planes.values():
-        plane.quarantine.succeed(POISON)
+    plane = fleet.planes["gogledd-1-b"]
+    fleet.carry_out("gogledd-1-b", plane.quarantine.succeed(POISON))
+    fleet.step()
     crash(fleet, "de-1-a", "10.0.0.2:80")
     assert states(fleet) == {False}
 
 
+def test_request_in_flight_on_upstreams_lost_together_is_not_refused(fleet):
+    for number, node in enumerate(["de-1-a", "gogledd-1-b", "de-2-c"]):
+        crash(fleet, node, f"10.0.0.{number}:80", is_repeat=False)
+    assert states(fleet) == {False}
+    crash(fleet, "de-1-a", "10.0.0.9:80", is_repeat=True)
+    assert states(fleet) == {True}
+
+
 def test_quarantine_ends(fleet):
     crash(fleet, "de-1-a", "10.0.0.1:80")
     crash(fleet, "de-1-a", "10.0.0.2:80")
