--- a/Makefile
+++ b/Makefile
@@ -1,16 +1,17 @@
 VENV := .venv
 BIN := $(VENV)/bin
 PYTHON := python3.11
-PACKAGES := cyclamentally cyclamentally-platform cyclamentally-node cyclamentally-cli cyclamentally-testing
+PACKAGES := packages/cyclamentally packages/cyclamentally-platform packages/cyclamentally-calls \
+	packages/cyclamentally-node packages/cyclamentally-cli packages/cyclamentally-testing platform
 
 .PHONY: install test lint demo clean bench-install bench-charts bench-memory bench-spread bench-calls soak fuzz
 
 install: $(VENV)/.installed
 
-$(VENV)/.installed: constraints.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/.installed: constraints.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt \
-		$(foreach p,$(PACKAGES),-e packages/$(p)) pytest hypothesis ruff
+		$(foreach p,$(PACKAGES),-e $(p)) pytest hypothesis ruff
 	touch $@
 
 lint: install
--- /dev/null
+++ b/packages/cyclamentally-calls/cyclamentally_calls/call_events.py
@@ -0,0 +1,135 @@
+"""Messages between the tasks of the data plane."""
+
+from cyclamentally.records import Record
+
+
+class RoutesReplaced(Record):
+    """A newer `RouteTable` is in force."""
+
+    __slots__ = ("table",)
+
+    def __init__(self, table):
+        self.table = table
+
+
+class HostsReplaced(Record):
+    """The hosts that are listed or still used.
+
+    Parameters
+    ----------
+    by_service : dict of str to list of HostEntry
+        Hosts by the service of their upstream.
+    """
+
+    __slots__ = ("by_service",)
+
+    def __init__(self, by_service):
+        self.by_service = by_service
+
+
+class HostFailed(Record):
+    """A host did not answer."""
+
+    __slots__ = ("name",)
+
+    def __init__(self, name):
+        self.name = name
+
+
+class Heard(Record):
+    """The upstream beside this node has sent word.
+
+    Parameters
+    ----------
+    said : Heartbeat or UpstreamEnded
+        What it says.
+    """
+
+    __slots__ = ("said",)
+
+    def __init__(self, said):
+        self.said = said
+
+
+class UpstreamChanged(Record):
+    """The upstream beside this node changed; None while there is none.
+
+    Parameters
+    ----------
+    upstream : UpstreamEntry
+        What other nodes are to know of it.
+    """
+
+    __slots__ = ("upstream",)
+
+    def __init__(self, upstream):
+        self.upstream = upstream
+
+
+class Offer(Record):
+    """A request for the upstream beside this node.
+
+    Parameters
+    ----------
+    number : int
+        Identifies the request at the sender.
+    sender : Task
+        Receiver of `OfferDone`.
+    ticket : PeerTicket
+        Whom it means.
+    request : Request
+        The request with the headers that the upstream gets.
+    """
+
+    __slots__ = ("number", "sender", "ticket", "request")
+
+    def __init__(self, number, sender, ticket, request):
+        self.number = number
+        self.sender = sender
+        self.ticket = ticket
+        self.request = request
+
+
+class OfferDone(Record):
+    """What an offer came to.
+
+    Parameters
+    ----------
+    number : int
+        Number of the offer at its sender.
+    outcome : Done or Refused
+        ``Done`` holds the `Answer`.
+    load : Load or None
+        Load of the upstream afterwards.
+    """
+
+    __slots__ = ("number", "outcome", "load")
+
+    def __init__(self, number, outcome, load):
+        self.number = number
+        self.outcome = outcome
+        self.load = load
+
+
+class OfferWithdrawn(Record):
+    """The sender no longer wants an answer to its offer."""
+
+    __slots__ = ("number",)
+
+    def __init__(self, number):
+        self.number = number
+
+
+class DrainBegun(Record):
+    """The node is to end: finish what has begun, take nothing new later."""
+
+    __slots__ = ()
+
+
+class Drained(Record):
+    """A task has nothing left to finish."""
+
+    __slots__ = ("task",)
+
+    def __init__(self, task):
+        self.task = task
--- /dev/null
+++ b/packages/cyclamentally-calls/cyclamentally_calls/client_connection.py
@@ -0,0 +1,329 @@
+"""The client's side of connections, and the pool that keeps them."""
+
+from cyclamentally.chart import runs_chart
+from cyclamentally_calls.http_codec import AnswerParser
+from cyclamentally_calls.outcomes import Answered, Lost, NotSent
+from cyclamentally_calls.stream import StreamOwner, connect
+
+# Kept connections are given up this long before the server's own idle limit.
+IDLE_MARGIN_S = 1.0
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+IGNORED_ANSWERS = 3
+
+
+class Sending:
+    """One request on its way.
+
+    Parameters
+    ----------
+    data : bytes
+        The encoded request.
+    echo : tuple or None
+        Name in lower case and value of the header that the answer must repeat.
+    is_head : bool
+        Whether the answer has no body whatever its headers say.
+    on_outcome : callable
+        Takes `Answered`, `NotSent` or `Lost`; called once unless cancelled.
+    """
+
+    __slots__ = (
+        "answer",
+        "connection",
+        "data",
+        "echo",
+        "is_head",
+        "on_outcome",
+        "timer",
+    )
+
+    def __init__(self, data, echo, on_outcome, is_head=False):
+        self.data = data
+        self.echo = echo
+        self.on_outcome = on_outcome
+        self.is_head = is_head
+        self.connection = None
+        self.answer = None
+        self.timer = None
+
+    def cancel(self):
+        """Close the connection, which tells the other side to stop."""
+        if self.timer is not None:
+            self.timer.cancel()
+        self.on_outcome = None
+        if self.connection is not None:
+            self.connection.fire("cancelled")
+
+    def finish(self, outcome):
+        """Report the outcome."""
+        if self.timer is not None:
+            self.timer.cancel()
+        report, self.on_outcome = self.on_outcome, None
+        if report is not None:
+            report(outcome)
+
+
+@runs_chart("upstream_connection")
+class ClientConnection(StreamOwner):
+    """Send one request at a time; runs ``upstream_connection``.
+
+    Parameters
+    ----------
+    pool : ConnectionPool
+        Owner.
+    address : str
+        ``IP:port`` of the other side.
+    sending : Sending
+        First request.
+    """
+
+    __slots__ = (
+        "address",
+        "idle_limit",
+        "ignored",
+        "is_last",
+        "parser",
+        "pool",
+        "sending",
+        "since",
+        "state",
+        "stream",
+    )
+
+    def __init__(self, pool, address, sending):
+        self.pool = pool
+        self.address = address
+        self.sending = sending
+        self.state = self.chart.initial
+        self.parser = AnswerParser(self)
+        self.since = pool.loop.clock()
+        self.idle_limit = pool.idle_s
+        self.ignored = 0
+        self.is_last = False
+        sending.connection = self
+        self.stream = connect(pool.loop, address, self)
+        if pool.silence_s:
+            self.stream.bound_silence(pool.silence_s)
+
+    def send(self, sending):
+        """Send a request on the idle connection."""
+        self.sending = sending
+        sending.connection = self
+        self.fire("sent")
+        self.stream.write(sending.data)
+
+    def send_first(self, message):
+        """Send the request that the connection was opened for."""
+        self.stream.write(self.sending.data)
+
+    def may_be_kept(self, answer):
+        """Whether the next request may follow on this connection."""
+        is_whole = not self.stream.unsent and not self.ignored
+        return is_whole and answer.keeps_open and not self.is_last
+
+    def is_end_of_answer(self, reason):
+        """Whether an orderly end completes an answer without a length."""
+        return reason == "" and self.parser.end() and self.sending.answer is not None
+
+    def keep(self, message):
+        """Return to the pool."""
+        self.since = self.pool.loop.clock()
+        self.idle_limit = idle_limit(self.sending.answer, self.pool.idle_s)
+        self.pool.put_back(self)
+
+    def hand_over(self, message):
+        """Report the whole answer."""
+        sending, self.sending = self.sending, None
+        sending.connection = None
+        sending.finish(Answered(sending.answer))
+
+    def release(self, message):
+        """Close the socket."""
+        self.stream.close()
+        self.pool.forget(self)
+
+    def fail_unsent(self, reason):
+        """Report that nothing was sent."""
+        self._fail(NotSent(f"{self.address}: {reason}"))
+
+    def fail_sent(self, reason):
+        """Report that the request may have run."""
+        detail = f"{self.address}: {reason or 'closed without a whole answer'}"
+        if self.stream.sent == 0:
+            self._fail(NotSent(detail))
+        else:
+            self._fail(Lost(detail))
+
+    def fire(self, event, message=None):
+        """Run an event of the chart."""
+        self.chart.fire(self, event, message)
+
+    def on_connected(self):
+        """Send the waiting request."""
+        self.pool.count_connection(self.address)
+        self.fire("connected")
+
+    def on_bytes(self, data):
+        """Parse an answer; bytes without a request spoil the connection."""
+        if self.state == "idle":
+            self.fire("spoiled", "bytes without a request")
+            return
+        is_sound = self.parser.feed(data)
+        if self.sending is not None and self.sending.is_head:
+            self.parser.end_head()
+        if self.state == "busy":
+            self._judge(is_sound)
+
+    def on_end(self, reason):
+        """Handle the other side's end."""
+        self.fire("ended", reason)
+
+    def on_answer(self, answer):
+        """Take the answer that repeats the request's id; drop others."""
+        sending = self.sending
+        if sending is None or sending.answer is not None:
+            self.ignored += 1
+            return
+        if sending.echo is not None:
+            name, value = sending.echo
+            if answer.find(name) != value:
+                self.ignored += 1
+                return
+        sending.answer = answer
+
+    def _judge(self, is_sound):
+        """Decide on what the parser has found in the bytes so far."""
+        if self.sending.answer is not None:
+            self.is_last = not is_sound or self.parser.in_message
+            self.fire("whole_answer", self.sending.answer)
+        elif not is_sound:
+            self.fire("spoiled", f"no HTTP answer: {self.parser.error}")
+        elif self.ignored > IGNORED_ANSWERS:
+            self.fire("spoiled", "answers to other requests")
+        elif self.parser.body_bytes > MAX_ANSWER_BYTES:
+            self.fire("spoiled", "the answer is too large")
+
+    def _fail(self, outcome):
+        self.release(None)
+        sending, self.sending = self.sending, None
+        if sending is not None:
+            sending.connection = None
+            sending.finish(outcome)
+
+
+class ConnectionPool:
+    """Connections by address, owned by one task.
+
+    Parameters
+    ----------
+    loop : Loop
+        Event loop.
+    idle_s : float
+        Longest idle time in seconds, where the server states none.
+    connect_s : float
+        Longest time to connect, in seconds.
+    silence_s : float
+        Longest time without acknowledgements of the other side, in seconds;
+        0 leaves it to the system.
+    """
+
+    __slots__ = ("all", "connect_s", "idle", "idle_s", "loop", "opened", "silence_s")
+
+    def __init__(self, loop, idle_s, connect_s, silence_s):
+        self.loop = loop
+        self.idle_s = idle_s
+        self.connect_s = connect_s
+        self.silence_s = silence_s
+        self.idle = {}
+        self.all = {}
+        self.opened = 0
+
+    def send(self, address, sending, deadline):
+        """Send a request, on a kept connection if there is one.
+
+        Parameters
+        ----------
+        address : str
+            ``IP:port``.
+        sending : Sending
+            The request.
+        deadline : float
+            Time in seconds after which it counts as lost.
+        """
+        connection = self._take(address)
+        if connection is not None:
+            connection.send(sending)
+        else:
+            connection = ClientConnection(self, address, sending)
+            self.all.setdefault(address, set()).add(connection)
+            limit = self.loop.clock() + self.connect_s
+            self.loop.call_at(limit, lambda: self._check_connected(connection))
+        if sending.on_outcome is not None:
+            sending.timer = self.loop.call_at(deadline, lambda: _time_out(sending))
+
+    def count(self, address):
+        """Return the number of connections to an address."""
+        return len(self.all.get(address, ()))
+
+    def put_back(self, connection):
+        """Keep an idle connection."""
+        self.idle.setdefault(connection.address, []).append(connection)
+
+    def forget(self, connection):
+        """Drop a closed connection."""
+        kept = self.idle.get(connection.address)
+        if kept is not None and connection in kept:
+            kept.remove(connection)
+        known = self.all.get(connection.address)
+        if known is not None:
+            known.discard(connection)
+            if not known:
+                del self.all[connection.address]
+                self.idle.pop(connection.address, None)
+
+    def count_connection(self, address):
+        """Count an opened connection."""
+        self.opened += 1
+
+    def close_idle(self, address):
+        """Close the idle connections to an address."""
+        for connection in list(self.idle.get(address, ())):
+            connection.fire("cancelled")
+
+    def close(self):
+        """Close all connections; requests on them are not reported."""
+        for connections in list(self.all.values()):
+            for connection in list(connections):
+                connection.fire("cancelled")
+
+    def _take(self, address):
+        kept = self.idle.get(address, [])
+        now = self.loop.clock()
+        while kept:
+            connection = kept.pop()
+            if now - connection.since < connection.idle_limit:
+                return connection
+            connection.fire("cancelled")
+        return None
+
+    def _check_connected(self, connection):
+        if connection.state == "connecting":
+            connection.fire("ended", "connect timed out")
+
+
+def _time_out(sending):
+    """End a request whose time is over."""
+    connection, report = sending.connection, sending.on_outcome
+    is_sent = connection is not None and connection.state == "busy"
+    sending.cancel()
+    if report is not None:
+        detail = "no answer in time"
+        report(Lost(detail, is_timeout=True) if is_sent else NotSent(detail))
+
+
+def idle_limit(answer, default_s):
+    """Return how long a connection may stay idle, by its ``Keep-Alive``."""
+    for part in answer.find(b"keep-alive").split(b","):
+        name, _, value = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and value.isdigit():
+            return max(0.0, min(default_s, int(value) - IDLE_MARGIN_S))
+    return default_s
--- /dev/null
+++ b/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
@@ -0,0 +1,441 @@
+"""The task that owns the connections to the upstream beside this node."""
+
+from abc import ABC, abstractmethod
+
+from cyclamentally.effects import Count, StateChanged
+from cyclamentally.errors import Done, Kind, Refused
+from cyclamentally.gate import RefuseWork, StartWork, Ticket, UpstreamEnded
+from cyclamentally.hosts import UpstreamEntry
+from cyclamentally_calls.call_events import (
+    DrainBegun,
+    Heard,
+    Offer,
+    OfferDone,
+    OfferWithdrawn,
+    RoutesReplaced,
+    UpstreamChanged,
+)
+from cyclamentally_calls.client_connection import ConnectionPool, Sending
+from cyclamentally_calls.http_codec import Answer, encode_request, forwarded
+from cyclamentally_calls.loop import Task
+from cyclamentally_calls.outcomes import Answered, Lost
+from cyclamentally_calls.peer_codec import (
+    PEER_HEADERS,
+    REFUSED_STATUS,
+    TICKET_HEADER,
+    decode_ticket,
+    encode_load,
+    encode_refusal,
+)
+from cyclamentally_calls.server_connection import (
+    ConnectionLimits,
+    RequestHandler,
+    ServerConnection,
+)
+from cyclamentally_calls.stream import Listener
+
+MS = 1_000
+# Upstreams close idle connections after 10 s; theirs to state otherwise.
+IDLE_S = 8.0
+# The upstream runs on the same host, so a connection takes no time.
+CONNECT_S = 0.5
+# Heartbeats of this many periods missed: the upstream is taken to be away.
+MISSED_HEARTBEATS = 3.5
+# While requests wait they are checked often, so that refusals come early.
+BUSY_TICK_S = 0.05
+CALM_TICK_S = 0.25
+# Bounds of what other nodes send: heads carry a ticket besides the caller's.
+PEER_LIMITS = ConnectionLimits(128 * 1024, 256 * 1024 * 1024, 5.0, 60.0)
+HTTP_OK = 200
+FIRST_REDIRECT = 300
+MISDIRECTED = 421
+
+
+class Origin(ABC):
+    """Where the outcome of a work goes."""
+
+    __slots__ = ()
+
+    @abstractmethod
+    def resolve(self, outcome, load):
+        """Report ``Done`` or ``Refused`` with the `Load` afterwards."""
+
+
+class LocalOrigin(Origin):
+    """A sender on this node."""
+
+    __slots__ = ("loop", "number", "sender")
+
+    def __init__(self, loop, sender, number):
+        self.loop = loop
+        self.sender = sender
+        self.number = number
+
+    def resolve(self, outcome, load):
+        """Send `OfferDone`."""
+        self.loop.post(self.sender, OfferDone(self.number, outcome, load))
+
+
+class PeerOrigin(Origin):
+    """A sender on another node."""
+
+    __slots__ = ("exchange", "id_name")
+
+    def __init__(self, exchange, id_name):
+        self.exchange = exchange
+        self.id_name = id_name
+
+    def resolve(self, outcome, load):
+        """Answer the other node's request."""
+        if isinstance(outcome, Done):
+            answer = outcome.value
+            headers = [*answer.headers, encode_load(load)]
+            self.exchange.answer(Answer(answer.status, headers, answer.body))
+            return
+        headers = [encode_refusal(outcome), encode_load(load)]
+        echo = self.exchange.request.find(self.id_name.lower)
+        if echo:
+            headers.append((self.id_name.text, echo))
+        self.exchange.answer(Answer(REFUSED_STATUS, headers, b""))
+
+
+class Work:
+    """A request at the gate.
+
+    Parameters
+    ----------
+    origin : Origin
+        Receiver of the outcome.
+    request : Request
+        What the upstream is to get.
+    ticket : Ticket
+        What the gate knows of it.
+    """
+
+    __slots__ = ("origin", "request", "sending", "ticket")
+
+    def __init__(self, origin, request, ticket):
+        self.origin = origin
+        self.request = request
+        self.ticket = ticket
+        self.sending = None
+
+
+class GateTask(Task, RequestHandler):
+    """Hand requests to the upstream beside this node as its gate decides.
+
+    Parameters
+    ----------
+    loop : Loop
+        Event loop.
+    address : str
+        ``IP:port`` for other nodes.
+    gate : Gate
+        Decisions.
+    names : HeaderNames
+        Headers shared with upstreams.
+    heartbeat_s : float
+        Time between heartbeats of the upstream, in seconds.
+    store : Task
+        Receiver of `UpstreamChanged`.
+    counters : Counters
+        Counts.
+    log : DecisionLog
+        Log.
+    """
+
+    __slots__ = (
+        "by_exchange",
+        "by_offer",
+        "connections",
+        "counters",
+        "gate",
+        "heartbeat_s",
+        "is_stopping",
+        "listener",
+        "log",
+        "loop",
+        "names",
+        "number",
+        "pool",
+        "published",
+        "services",
+        "store",
+        "timer",
+        "works",
+    )
+
+    def __init__(self, loop, address, gate, names, heartbeat_s, store, counters, log):
+        self.loop = loop
+        self.gate = gate
+        self.names = names
+        self.heartbeat_s = heartbeat_s
+        self.store = store
+        self.counters = counters
+        self.log = log
+        self.listener = Listener(loop, address, self._accept)
+        self.pool = ConnectionPool(loop, IDLE_S, CONNECT_S, 0.0)
+        self.connections = set()
+        self.works = {}
+        self.by_exchange = {}
+        self.by_offer = {}
+        self.number = 0
+        self.published = None
+        self.services = {}
+        self.is_stopping = False
+        self.timer = None
+
+    def start(self):
+        """Take requests of other nodes."""
+        self.listener.start()
+        self.timer = self.loop.call_after(CALM_TICK_S, self._tick)
+
+    def close(self):
+        """Close all sockets."""
+        self.timer.cancel()
+        self.listener.close()
+        for connection in list(self.connections):
+            connection.fire("ended")
+        self.pool.close()
+
+    def receive(self, message):
+        """Handle the messages of the other tasks."""
+        if isinstance(message, Offer):
+            origin = LocalOrigin(self.loop, message.sender, message.number)
+            work = self._admit(origin, message.ticket, message.request)
+            if work is not None:
+                self.by_offer[message.number] = work
+        elif isinstance(message, OfferWithdrawn):
+            self._withdraw(self.by_offer.pop(message.number, None))
+        elif isinstance(message, Heard):
+            self._hear(message.said)
+        elif isinstance(message, RoutesReplaced):
+            self.services = message.table.services
+        elif isinstance(message, DrainBegun):
+            self._begin_drain()
+
+    def is_idle(self):
+        """Whether no request is at the gate."""
+        return not self.works
+
+    # Requests of other nodes.
+
+    def on_request(self, exchange):
+        """Admit a request of another node."""
+        ticket = decode_ticket(exchange.request.find(TICKET_HEADER.lower()))
+        if ticket is None:
+            refusal = Refused(Kind.MESSAGE_MALFORMED, "no ticket")
+            exchange.answer(self.refuse(exchange.request, refusal))
+            return
+        origin = PeerOrigin(exchange, self.names.request_id)
+        work = self._admit(origin, ticket, exchange.request)
+        if work is not None:
+            self.by_exchange[exchange] = work
+
+    def on_gone(self, exchange):
+        """Stop the work of a sender that has left."""
+        self._withdraw(self.by_exchange.pop(exchange, None))
+
+    def on_closed(self, connection):
+        """Forget a connection."""
+        self.connections.discard(connection)
+
+    def may_overtake(self, request):
+        """Nodes do not send requests ahead."""
+        return False
+
+    def refuse(self, request, refusal):
+        """Return the answer to a request that breaks the protocol."""
+        self.counters.add("peer_requests_refused_total", refusal.kind)
+        return Answer(refusal.answer.status, [encode_refusal(refusal)], b"")
+
+    def _accept(self, accepted):
+        connection = ServerConnection(self.loop, accepted, self, PEER_LIMITS)
+        self.connections.add(connection)
+
+    # The gate.
+
+    def _admit(self, origin, peer_ticket, request):
+        now = self.loop.clock()
+        self.number += 1
+        ticket = Ticket(
+            self.number,
+            peer_ticket.upstream,
+            peer_ticket.service,
+            peer_ticket.route,
+            peer_ticket.priority,
+            now + peer_ticket.left_s,
+        )
+        work = Work(origin, request, ticket)
+        self.works[ticket.number] = work
+        if self.is_stopping:
+            refusal = Refused(Kind.STOPPING, "this node is stopping")
+            self._carry_out([RefuseWork(ticket.number, refusal)])
+        else:
+            self._carry_out(self.gate.admit(ticket, now))
+        return work if ticket.number in self.works else None
+
+    def _withdraw(self, work):
+        if work is None or work.ticket.number not in self.works:
+            return
+        self._forget(work)
+        self.gate.cancel(work.ticket.number)
+        if work.sending is not None:
+            work.sending.cancel()
+        self.counters.add("works_cancelled_total")
+        effects = self.gate.finish(work.ticket.number, False, self.loop.clock())
+        self._carry_out(effects)
+
+    def _hear(self, said):
+        before = self.gate.heartbeat
+        now = self.loop.clock()
+        if isinstance(said, UpstreamEnded):
+            self._carry_out(self.gate.end(said.upstream, said.said_ms, now))
+        else:
+            self._carry_out(self.gate.hear(said, now))
+        known = self.gate.heartbeat
+        if before is not None and before.upstream != known.upstream:
+            self.pool.close_idle(before.address)
+        self._publish()
+
+    def _publish(self):
+        """Tell the other nodes what this upstream is, if that changed."""
+        heartbeat = self.gate.heartbeat
+        if heartbeat is None or self.is_stopping:
+            return
+        is_open = self.gate.state == "open"
+        identity = (
+            heartbeat.upstream,
+            heartbeat.service,
+            heartbeat.started_ms,
+            heartbeat.slots,
+            is_open,
+        )
+        if identity == self.published:
+            return
+        if self.published is None and not is_open:
+            return
+        self.published = identity
+        entry = UpstreamEntry(
+            heartbeat.upstream,
+            heartbeat.service,
+            heartbeat.started_ms,
+            heartbeat.slots,
+            heartbeat.cold_s,
+            not is_open,
+        )
+        self.loop.post(self.store, UpstreamChanged(entry))
+
+    def _carry_out(self, effects):
+        for effect in effects:
+            if isinstance(effect, StartWork):
+                self._start_work(effect)
+            elif isinstance(effect, RefuseWork):
+                self._refuse_work(effect)
+            elif isinstance(effect, Count):
+                self.counters.take([effect])
+            elif isinstance(effect, StateChanged):
+                self.log.write("state", subject=effect.subject, state=effect.state)
+
+    def _refuse_work(self, effect):
+        work = self.works.get(effect.number)
+        if work is not None:
+            self.counters.add("gate_refusals_total", effect.refusal.kind)
+            self._resolve(work, effect.refusal)
+
+    def _start_work(self, effect):
+        work = self.works[effect.number]
+        now = self.loop.clock()
+        heartbeat = effect.heartbeat
+        names = self.names
+        request = work.request
+        headers = forwarded(request.headers, PEER_HEADERS)
+        headers = [h for h in headers if h[0].lower() not in _set_here(names)]
+        left_ms = max(1, int((work.ticket.expires - now) * MS))
+        headers.append((names.deadline_ms.text, b"%d" % left_ms))
+        headers.append((names.expected_upstream.text, heartbeat.upstream.encode()))
+        data = encode_request(
+            request.method, request.target, headers, request.body, request.has_body
+        )
+        request_id = request.find(names.request_id.lower)
+        echo = (names.request_id.lower, request_id) if request_id else None
+        work.sending = Sending(
+            data,
+            echo,
+            lambda result: self._finish_work(work, result),
+            request.method == b"HEAD",
+        )
+        self.pool.send(heartbeat.address, work.sending, work.ticket.expires)
+
+    def _finish_work(self, work, result):
+        outcome = self._judge(result)
+        if isinstance(outcome, Refused):
+            if outcome.kind in (Kind.UPSTREAM_UNREACHABLE, Kind.UPSTREAM_LEFT):
+                self._lose("unreachable")
+            self.counters.add("upstream_failures_total", outcome.kind)
+            self.log.write(
+                "upstream_failure",
+                id=work.request.find(self.names.request_id.lower).decode("latin-1"),
+                upstream=work.ticket.upstream,
+                kind=outcome.kind,
+                detail=outcome.detail,
+            )
+        is_answered = isinstance(outcome, Done)
+        now = self.loop.clock()
+        effects = self.gate.finish(work.ticket.number, is_answered, now)
+        self._resolve(work, outcome)
+        self._carry_out(effects)
+
+    def _judge(self, result):
+        """Return ``Done`` for an answer that may be passed on."""
+        if isinstance(result, Lost):
+            kind = Kind.UPSTREAM_TIMEOUT if result.is_timeout else Kind.UPSTREAM_FAILED
+            return Refused(kind, result.detail)
+        if not isinstance(result, Answered):
+            return Refused(Kind.UPSTREAM_UNREACHABLE, result.detail)
+        answer = result.answer
+        if answer.find(self.names.not_run.lower):
+            return Refused(Kind.UPSTREAM_OVERLOADED, f"upstream says {answer.status}")
+        if answer.status == MISDIRECTED:
+            return Refused(Kind.UPSTREAM_LEFT, "another upstream has the address")
+        if answer.find(b"content-encoding"):
+            return Refused(Kind.UPSTREAM_TRUNCATED, "the body is encoded")
+        is_signed = bool(answer.find(self.names.signature.lower))
+        if HTTP_OK <= answer.status < FIRST_REDIRECT and not is_signed:
+            return Refused(Kind.UPSTREAM_TRUNCATED, "a success without signature")
+        headers = forwarded(answer.headers, PEER_HEADERS)
+        return Done(Answer(answer.status, headers, answer.body))
+
+    def _lose(self, event):
+        self._carry_out(self.gate.lose(event))
+        self._publish()
+
+    def _resolve(self, work, outcome):
+        self._forget(work)
+        work.origin.resolve(outcome, self.gate.load(work.ticket.route))
+
+    def _forget(self, work):
+        self.works.pop(work.ticket.number, None)
+        origin = work.origin
+        if isinstance(origin, PeerOrigin):
+            self.by_exchange.pop(origin.exchange, None)
+        else:
+            self.by_offer.pop(origin.number, None)
+
+    def _begin_drain(self):
+        self.is_stopping = True
+        self._carry_out(self.gate.refuse_waiting(None))
+
+    def _tick(self):
+        now = self.loop.clock()
+        silence = now - self.gate.heard_at
+        if self.gate.state == "open":
+            if silence > MISSED_HEARTBEATS * self.heartbeat_s:
+                self._lose("silent")
+            self._carry_out(self.gate.tick(now))
+        pause = BUSY_TICK_S if self.gate.waiting else CALM_TICK_S
+        self.timer = self.loop.call_after(pause, self._tick)
+
+
+def _set_here(names):
+    return (names.deadline_ms.lower, names.expected_upstream.lower)
--- /dev/null
+++ b/packages/cyclamentally-calls/cyclamentally_calls/http_codec.py
@@ -0,0 +1,371 @@
+"""HTTP/1.1 messages: parsing by httptools, encoding, and what may be forwarded."""
+
+from httptools import (
+    HttpParserError,
+    HttpParserUpgrade,
+    HttpRequestParser,
+    HttpResponseParser,
+)
+
+HTTP_10 = "1.0"
+HOP_HEADERS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    )
+)
+STATUSES_WITHOUT_BODY = (204, 304)
+FIRST_FINAL_STATUS = 200
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    405: b"Method Not Allowed",
+    408: b"Request Timeout",
+    409: b"Conflict",
+    413: b"Content Too Large",
+    421: b"Misdirected Request",
+    422: b"Unprocessable Content",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+class Request:
+    """A whole HTTP request.
+
+    Parameters
+    ----------
+    method, target : bytes
+        Method; path with query as received.
+    headers : list
+        Pairs of name and value as received, in order.
+    body : bytes
+        Whole body.
+    has_body : bool
+        Whether a body was announced, even an empty one.
+    keeps_open : bool
+        Whether the caller goes on to use the connection.
+    """
+
+    __slots__ = (
+        "body",
+        "has_body",
+        "headers",
+        "index",
+        "keeps_open",
+        "method",
+        "target",
+    )
+
+    def __init__(self, method, target, headers, body, has_body, keeps_open):
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.has_body = has_body
+        self.keeps_open = keeps_open
+        self.index = {name.lower(): value for name, value in headers}
+
+    def find(self, name, default=b""):
+        """Return the value of a header by its name in lower case."""
+        return self.index.get(name, default)
+
+
+class Answer:
+    """A whole HTTP answer.
+
+    Parameters
+    ----------
+    status : int
+        Status code.
+    headers : list
+        Pairs of name and value, in order.
+    body : bytes
+        Whole body.
+    """
+
+    __slots__ = ("body", "headers", "index", "keeps_open", "status")
+
+    def __init__(self, status, headers, body, keeps_open=True):
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.keeps_open = keeps_open
+        self.index = {name.lower(): value for name, value in headers}
+
+    def find(self, name, default=b""):
+        """Return the value of a header by its name in lower case."""
+        return self.index.get(name, default)
+
+
+class RequestParser:
+    """Collect requests from the bytes of one connection.
+
+    Parameters
+    ----------
+    sink : object
+        Has ``on_request(request)`` and ``on_head(length)``; the latter gets the
+        announced body length, None for a chunked body.
+    """
+
+    __slots__ = (
+        "body",
+        "body_bytes",
+        "error",
+        "head_bytes",
+        "headers",
+        "in_body",
+        "in_message",
+        "parser",
+        "sink",
+        "target",
+    )
+
+    def __init__(self, sink):
+        self.sink = sink
+        self.parser = HttpRequestParser(self)
+        self.in_message = False
+        self.in_body = False
+        self.error = ""
+        self._reset()
+
+    def feed(self, data):
+        """Parse bytes; returns False once they break the protocol."""
+        if self.error:
+            return False
+        try:
+            self.parser.feed_data(data)
+        except HttpParserUpgrade:
+            self.error = "protocol upgrades are not offered"
+        except HttpParserError as error:
+            self.error = str(error)
+        return not self.error
+
+    def on_message_begin(self):
+        """Begin a request."""
+        self._reset()
+        self.in_message = True
+
+    def on_url(self, part):
+        """Add a part of the request target."""
+        self.target += part
+        self.head_bytes += len(part)
+
+    def on_header(self, name, value):
+        """Add a header; trailers are dropped."""
+        self.head_bytes += len(name) + len(value)
+        if not self.in_body:
+            self.headers.append((name, value))
+
+    def on_headers_complete(self):
+        """Announce the body."""
+        self.in_body = True
+        index = {name.lower(): value for name, value in self.headers}
+        is_chunked = b"transfer-encoding" in index
+        length = None if is_chunked else int(index.get(b"content-length", 0))
+        self.sink.on_head(length, b"expect" in index)
+
+    def on_body(self, part):
+        """Add a part of the body."""
+        self.body.append(part)
+        self.body_bytes += len(part)
+
+    def on_message_complete(self):
+        """Hand the request over."""
+        self.in_message = False
+        self.in_body = False
+        names = {name.lower() for name, _ in self.headers}
+        has_body = b"content-length" in names or b"transfer-encoding" in names
+        request = Request(
+            self.parser.get_method(),
+            self.target,
+            self.headers,
+            b"".join(self.body),
+            has_body,
+            self.parser.should_keep_alive(),
+        )
+        self._reset()
+        self.sink.on_request(request)
+
+    def _reset(self):
+        self.target = b""
+        self.headers = []
+        self.body = []
+        self.body_bytes = 0
+        self.head_bytes = 0
+        self.in_body = False
+
+
+class AnswerParser:
+    """Collect answers from the bytes of one connection.
+
+    Parameters
+    ----------
+    sink : object
+        Has ``on_answer(answer)``.
+    """
+
+    __slots__ = (
+        "body",
+        "body_bytes",
+        "error",
+        "headers",
+        "in_body",
+        "in_message",
+        "parser",
+        "sink",
+    )
+
+    def __init__(self, sink):
+        self.sink = sink
+        self.parser = HttpResponseParser(self)
+        self.in_message = False
+        self.headers = []
+        self.body = []
+        self.body_bytes = 0
+        self.in_body = False
+        self.error = ""
+
+    def feed(self, data):
+        """Parse bytes; returns False once they are no answer."""
+        if self.error:
+            return False
+        try:
+            self.parser.feed_data(data)
+        except (HttpParserError, HttpParserUpgrade) as error:
+            self.error = str(error) or "protocol upgrade"
+        return not self.error
+
+    def end(self):
+        """Complete an answer that has no length and ends with its connection.
+
+        Returns whether there was one.
+        """
+        if not self.in_body or self.error:
+            return False
+        index = {name.lower() for name, _ in self.headers}
+        if b"content-length" in index or b"transfer-encoding" in index:
+            return False
+        self._hand_over(keeps_open=False)
+        return True
+
+    def end_head(self):
+        """Complete the answer to a HEAD, which has no body."""
+        if self.in_body and not self.error:
+            self._hand_over(keeps_open=False)
+
+    def on_message_begin(self):
+        """Begin an answer."""
+        self.in_message = True
+        self.headers = []
+        self.body = []
+        self.body_bytes = 0
+        self.in_body = False
+
+    def on_header(self, name, value):
+        """Add a header; trailers are dropped."""
+        if not self.in_body:
+            self.headers.append((name, value))
+
+    def on_headers_complete(self):
+        """Begin the body."""
+        self.in_body = True
+
+    def on_body(self, part):
+        """Add a part of the body."""
+        self.body.append(part)
+        self.body_bytes += len(part)
+
+    def on_message_complete(self):
+        """Hand over a final answer; interim ones are dropped."""
+        self._hand_over(self.parser.should_keep_alive())
+
+    def _hand_over(self, keeps_open):
+        self.in_body = False
+        self.in_message = False
+        status = self.parser.get_status_code()
+        if status >= FIRST_FINAL_STATUS:
+            body = b"".join(self.body)
+            self.sink.on_answer(Answer(status, self.headers, body, keeps_open))
+
+
+def forwarded(headers, left_out):
+    """Return the headers without those of the connection and some others.
+
+    Parameters
+    ----------
+    headers : list
+        Pairs of name and value.
+    left_out : frozenset of bytes
+        Names in lower case.
+    """
+    nominated = ()
+    for name, value in headers:
+        if name.lower() == b"connection":
+            nominated = [token.strip().lower() for token in value.split(b",")]
+    kept = []
+    for pair in headers:
+        name = pair[0].lower()
+        if name in HOP_HEADERS or name in left_out or name in nominated:
+            continue
+        kept.append(pair)
+    return kept
+
+
+def encode_request(method, target, headers, body, has_body):
+    """Return the bytes of a request."""
+    parts = [method, b" ", target, b" HTTP/1.1\r\n"]
+    _add_headers(parts, headers)
+    if has_body or body:
+        parts.append(b"Content-Length: %d\r\n" % len(body))
+    parts += [b"\r\n", body]
+    return b"".join(parts)
+
+
+def encode_answer(answer, closes=False, is_head=False, keep_alive_s=None):
+    """Return the bytes of an answer.
+
+    Parameters
+    ----------
+    answer : Answer
+        What to send.
+    closes : bool
+        Whether the connection ends after it.
+    is_head : bool
+        Whether the request was a HEAD: headers without the body.
+    keep_alive_s : int, optional
+        Seconds that the connection may stay idle, named to the caller.
+    """
+    reason = REASONS.get(answer.status, b"Status")
+    parts = [b"HTTP/1.1 %d %s\r\n" % (answer.status, reason)]
+    _add_headers(parts, answer.headers)
+    if answer.status not in STATUSES_WITHOUT_BODY:
+        parts.append(b"Content-Length: %d\r\n" % len(answer.body))
+    if closes:
+        parts.append(b"Connection: close\r\n")
+    elif keep_alive_s is not None:
+        parts.append(b"Keep-Alive: timeout=%d\r\n" % keep_alive_s)
+    parts.append(b"\r\n")
+    if not is_head and answer.status not in STATUSES_WITHOUT_BODY:
+        parts.append(answer.body)
+    return b"".join(parts)
+
+
+def _add_headers(parts, headers):
+    for name, value in headers:
+        parts += [name, b": ", value, b"\r\n"]
--- /dev/null
+++ b/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
@@ -0,0 +1,495 @@
+"""The task that owns callers' connections and offers their requests to gates."""
+
+from cyclamentally.budgets import ServiceBudget
+from cyclamentally.errors import Done, Kind, Refused
+from cyclamentally.forwarding import (
+    Forwarding,
+    OfferResult,
+    no_upstream,
+    time_over,
+)
+from cyclamentally_calls.call_events import (
+    DrainBegun,
+    HostFailed,
+    HostsReplaced,
+    Offer,
+    OfferDone,
+    OfferWithdrawn,
+    RoutesReplaced,
+)
+from cyclamentally_calls.client_connection import ConnectionPool, Sending
+from cyclamentally_calls.http_codec import Answer, Request, encode_request, forwarded
+from cyclamentally_calls.loop import Task
+from cyclamentally_calls.outcomes import Answered, NotSent
+from cyclamentally_calls.peer_codec import (
+    LOAD_HEADER,
+    PEER_HEADERS,
+    REFUSED_HEADER,
+    PeerTicket,
+    decode_load,
+    decode_refusal,
+    encode_ticket,
+)
+from cyclamentally_calls.server_connection import (
+    ConnectionLimits,
+    RequestHandler,
+    ServerConnection,
+)
+from cyclamentally_calls.stream import Listener
+
+MS = 1_000
+# Before the first configuration; generous, since nothing is known yet.
+FIRST_LIMITS = ConnectionLimits(64 * 1024, 64 * 1024 * 1024, 5.0, 30.0)
+CONNECT_S = 0.25
+# A host that acknowledges nothing for this long is cut off or has no power.
+SILENCE_S = 0.8
+PEER_IDLE_S = 30.0
+FAILURE_STATUS = 500
+LEAST_RETRY_AFTER_S = 0.02
+DEFAULT_RETRY_AFTER_S = 0.2
+
+
+class Call:
+    """A caller's request with its decisions and what is out for it.
+
+    Parameters
+    ----------
+    exchange : Exchange
+        Where the answer goes.
+    life : Forwarding
+        Decisions.
+    headers : list
+        Headers that the upstream gets.
+    """
+
+    __slots__ = ("exchange", "headers", "life", "sending", "timer")
+
+    def __init__(self, exchange, life, headers):
+        self.exchange = exchange
+        self.life = life
+        self.headers = headers
+        self.sending = None
+        self.timer = None
+
+
+class OutboundTask(Task, RequestHandler):
+    """Answer callers on this host by way of the gates of all hosts.
+
+    Parameters
+    ----------
+    loop : Loop
+        Event loop.
+    address : str
+        ``IP:port`` for callers.
+    host : str
+        Name of this host, whose gate is reached by message.
+    service : str
+        Service beside this node, named to upstreams as the caller.
+    names : HeaderNames
+        Headers shared with callers and upstreams.
+    places : Places
+        Choice of upstreams.
+    turns : WeightedTurns
+        Choice of services.
+    budget_rule : BudgetRule
+        Bound of repeats.
+    counters : Counters
+        Counts.
+    log : DecisionLog
+        Log.
+    """
+
+    __slots__ = (
+        "address",
+        "budget_rule",
+        "budgets",
+        "by_exchange",
+        "calls",
+        "connections",
+        "counters",
+        "gate",
+        "host",
+        "hosts",
+        "is_stopping",
+        "limits",
+        "listener",
+        "log",
+        "loop",
+        "names",
+        "number",
+        "places",
+        "pool",
+        "service",
+        "store",
+        "table",
+        "turns",
+    )
+
+    def __init__(
+        self,
+        loop,
+        address,
+        host,
+        service,
+        names,
+        places,
+        turns,
+        budget_rule,
+        counters,
+        log,
+    ):
+        self.loop = loop
+        self.address = address
+        self.host = host
+        self.service = service
+        self.names = names
+        self.places = places
+        self.turns = turns
+        self.budget_rule = budget_rule
+        self.counters = counters
+        self.log = log
+        self.listener = Listener(loop, address, self._accept)
+        self.pool = ConnectionPool(loop, PEER_IDLE_S, CONNECT_S, SILENCE_S)
+        self.connections = set()
+        self.limits = FIRST_LIMITS
+        self.table = None
+        self.hosts = {}
+        self.budgets = {}
+        self.calls = {}
+        self.by_exchange = {}
+        self.number = 0
+        self.is_stopping = False
+        self.gate = None
+        self.store = None
+
+    def start(self):
+        """Take requests of callers."""
+        self.listener.start()
+
+    def close(self):
+        """Close all sockets."""
+        self.listener.close()
+        for connection in list(self.connections):
+            connection.fire("ended")
+        self.pool.close()
+
+    def receive(self, message):
+        """Handle the messages of the other tasks."""
+        if isinstance(message, OfferDone):
+            call = self.calls.get(message.number)
+            if call is not None:
+                self._take_outcome(call, message.outcome, message.load)
+        elif isinstance(message, HostsReplaced):
+            self.hosts = message.by_service
+            entries = [e for group in self.hosts.values() for e in group]
+            self.places.update(entries)
+        elif isinstance(message, RoutesReplaced):
+            self._replace_routes(message.table)
+        elif isinstance(message, DrainBegun):
+            self.is_stopping = True
+
+    def is_idle(self):
+        """Whether no caller waits for an answer."""
+        return not self.calls
+
+    def end_connections(self):
+        """Take no new connection and end those that wait for a request."""
+        self.listener.close()
+        for connection in list(self.connections):
+            connection.drain()
+
+    # Requests of callers.
+
+    def on_request(self, exchange):
+        """Place a caller's request."""
+        request = exchange.request
+        if self.table is None:
+            detail = "no configuration has been read yet"
+            self._refuse(exchange, Refused(Kind.NOT_READY, detail, None))
+            return
+        rule = self._find_rule(request)
+        if rule is None:
+            self._refuse(exchange, Refused(Kind.NO_ROUTE, "no route"))
+            return
+        now = self.loop.clock()
+        service = self.turns.choose(rule)
+        expires = exchange.arrived + self._allowed(request, rule)
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = self.budgets[service] = ServiceBudget(self.budget_rule)
+        budget.note_first(now)
+        self.number += 1
+        life = Forwarding(self.number, rule, service, exchange.arrived, expires, budget)
+        call = Call(exchange, life, self._headers(request))
+        self.calls[life.number] = call
+        self.by_exchange[exchange] = call
+        call.timer = self.loop.call_at(expires, lambda: self._time_out(call))
+        self._place(call)
+
+    def on_gone(self, exchange):
+        """Give up a request whose caller has left."""
+        call = self.by_exchange.get(exchange)
+        if call is None:
+            return
+        call.life.fire("caller_gone")
+        self.counters.add("calls_abandoned_total")
+        self.log.success("caller_gone", id=self._id(call), route=call.life.rule.name)
+        self._withdraw(call)
+        self._forget(call)
+
+    def on_closed(self, connection):
+        """Forget a connection."""
+        self.connections.discard(connection)
+
+    def may_overtake(self, request):
+        """Return whether a request may run twice, and so need not wait."""
+        if self.table is None:
+            return True
+        rule = self._find_rule(request)
+        return rule is None or rule.kind.may_repeat
+
+    def refuse(self, request, refusal):
+        """Return the answer to a refused request, and count it."""
+        self.counters.add("requests_refused_total", refusal.kind)
+        answer = refusal.answer
+        headers = [(b"Content-Type", b"text/plain")]
+        if answer.retry_after is not None:
+            wait = refusal.wait or DEFAULT_RETRY_AFTER_S
+            wait = max(LEAST_RETRY_AFTER_S, wait)
+            headers.append((b"Retry-After", b"%.3f" % wait))
+        if request is not None:
+            echo = request.find(self.names.request_id.lower)
+            if echo:
+                headers.append((self.names.request_id.text, echo))
+        body = f"{refusal.kind}: {refusal.detail}\n".encode()
+        return Answer(answer.status, headers, body)
+
+    def _accept(self, accepted):
+        connection = ServerConnection(self.loop, accepted, self, self.limits)
+        self.connections.add(connection)
+
+    def _replace_routes(self, table):
+        self.table = table
+        self.turns.forget()
+        limits = table.limits
+        self.limits = ConnectionLimits(
+            limits.header_bytes, limits.body_bytes, limits.header_s, limits.idle_s
+        )
+        for connection in self.connections:
+            connection.limits = self.limits
+
+    def _find_rule(self, request):
+        host = request.find(b"host").decode("latin-1").lower()
+        host = host.rsplit(":", 1)[0] if ":" in host else host
+        path = request.target.decode("latin-1").partition("?")[0]
+        return self.table.find(host, path)
+
+    def _allowed(self, request, rule):
+        """Return the time for a request in seconds, by caller and route."""
+        text = request.find(self.names.deadline_ms.lower)
+        if text.isdigit():
+            return min(int(text) / MS, rule.timeout_s)
+        return rule.timeout_s
+
+    def _headers(self, request):
+        names = self.names
+        kept = forwarded(request.headers, names.set_by_mesh | PEER_HEADERS)
+        kept.append((names.calling_service.text, self.service.encode()))
+        return kept
+
+    # Offers.
+
+    def _place(self, call):
+        """Offer a request to the upstream that should answer first."""
+        life = call.life
+        now = self.loop.clock()
+        if now >= life.expires:
+            self._finish(call, "time_over", time_over(life.service))
+            return
+        entries = self.hosts.get(life.service, ())
+        view = self.places.choose(entries, life.rule, life.tried, now)
+        if view is None:
+            refusal = life.refusal or no_upstream(life.service)
+            self._finish(call, "no_place", refusal)
+            return
+        life.fire("offered", view)
+        view.in_flight += 1
+        view.sent_since += 1
+        self._offer(call, view, now)
+
+    def _offer(self, call, view, now):
+        life = call.life
+        request = call.exchange.request
+        upstream = view.entry.upstream
+        left = life.expires - now
+        ticket = PeerTicket(
+            upstream.name, upstream.service, life.rule.name, life.rule.priority, left
+        )
+        if view.entry.name == self.host:
+            offered = Request(
+                request.method,
+                request.target,
+                call.headers,
+                request.body,
+                request.has_body,
+                True,
+            )
+            self.loop.post(self.gate, Offer(life.number, self, ticket, offered))
+            return
+        data = encode_request(
+            request.method,
+            request.target,
+            [*call.headers, encode_ticket(ticket)],
+            request.body,
+            request.has_body,
+        )
+        name = self.names.request_id.lower
+        echo = (name, request.find(name)) if request.find(name) else None
+        call.sending = Sending(
+            data,
+            echo,
+            lambda result: self._take_peer_result(call, result),
+            request.method == b"HEAD",
+        )
+        self.pool.send(view.entry.address, call.sending, life.expires)
+
+    def _take_peer_result(self, call, result):
+        """Take in what another node's gate has answered, if it has."""
+        call.sending = None
+        view = call.life.view
+        if isinstance(result, Answered):
+            answer = result.answer
+            load = decode_load(answer.find(LOAD_HEADER.lower()))
+            refused = answer.find(REFUSED_HEADER.lower())
+            outcome = decode_refusal(refused) if refused else Done(answer)
+            self._take_outcome(call, outcome, load)
+            return
+        view.fail(self.loop.clock())
+        self.loop.post(self.store, HostFailed(view.entry.name))
+        if isinstance(result, NotSent):
+            outcome = Refused(Kind.UPSTREAM_UNREACHABLE, result.detail)
+        elif result.is_timeout:
+            outcome = Refused(Kind.UPSTREAM_TIMEOUT, result.detail)
+        else:
+            outcome = Refused(Kind.UPSTREAM_FAILED, result.detail)
+        self._take_outcome(call, outcome, None)
+
+    def _take_outcome(self, call, outcome, load):
+        life = call.life
+        view = life.view
+        now = self.loop.clock()
+        view.in_flight -= 1
+        if load is not None:
+            view.report(load, life.rule.name, now)
+        nodes = len(self.places.views)
+        if isinstance(outcome, Done):
+            view.succeed()
+            answer = outcome.value
+            is_failure = answer.status >= FAILURE_STATUS
+            event = "failure_answer" if is_failure else "answer"
+            effects = life.fire(event, OfferResult(answer, None, now, nodes))
+        else:
+            self._judge_refusal(view, outcome, now)
+            effects = life.fail(OfferResult(None, outcome, now, nodes))
+        self.counters.take(effects)
+        self._go_on(call)
+
+    def _judge_refusal(self, view, refusal, now):
+        if refusal.kind in (Kind.QUEUE_FULL, Kind.QUEUE_TIMEOUT):
+            view.pause(now, min(refusal.wait or 0.0, 0.1))
+        elif refusal.kind in (Kind.UPSTREAM_LEFT, Kind.STOPPING):
+            view.pause(now, 1.0)
+        elif refusal.kind == Kind.UPSTREAM_OVERLOADED:
+            view.pause(now, 0.05)
+        elif refusal.kind == Kind.UPSTREAM_UNREACHABLE:
+            view.fail(now)
+
+    def _go_on(self, call):
+        """Do what the state of the request asks for."""
+        life = call.life
+        if life.state == "placing":
+            self._place(call)
+        elif life.state == "answered":
+            self._answer(call, life.answer)
+        elif life.state == "refused":
+            refusal = life.final_refusal()
+            self._log_refusal(call, refusal)
+            self._answer(call, self.refuse(call.exchange.request, refusal))
+
+    def _finish(self, call, event, refusal):
+        now = self.loop.clock()
+        result = OfferResult(None, refusal, now, len(self.places.views))
+        call.life.fire(event, result)
+        self._go_on(call)
+
+    def _time_out(self, call):
+        """Answer a request whose time is over."""
+        life = call.life
+        refusal = time_over(life.service)
+        if life.state == "offered":
+            detail = f"{life.view.entry.upstream.name}: no answer in time"
+            refusal = Refused(Kind.UPSTREAM_TIMEOUT, detail)
+            self._withdraw(call)
+        self._finish(call, "time_over", refusal)
+
+    def _answer(self, call, answer):
+        headers = forwarded(answer.headers, PEER_HEADERS)
+        life = call.life
+        self._forget(call)
+        self.counters.add("calls_answered_total", answer.status)
+        self.log.success(
+            "answered",
+            id=self._id(call),
+            route=life.rule.name,
+            status=answer.status,
+            offers=life.offers,
+            version=self.table.version,
+            ms=int((self.loop.clock() - life.arrived) * MS),
+        )
+        call.exchange.answer(Answer(answer.status, headers, answer.body))
+
+    def _refuse(self, exchange, refusal):
+        self.log.write(
+            "refused",
+            id=exchange.request.find(self.names.request_id.lower).decode("latin-1"),
+            kind=refusal.kind,
+            detail=refusal.detail,
+            version=self.table.version if self.table else None,
+        )
+        exchange.answer(self.refuse(exchange.request, refusal))
+
+    def _log_refusal(self, call, refusal):
+        life = call.life
+        self.log.write(
+            "refused",
+            id=self._id(call),
+            route=life.rule.name,
+            service=life.service,
+            kind=refusal.kind,
+            detail=refusal.detail,
+            offers=life.offers,
+            attempts=life.attempts,
+            known=len(self.hosts.get(life.service, ())),
+            version=self.table.version,
+            ms=int((self.loop.clock() - life.arrived) * MS),
+        )
+
+    def _withdraw(self, call):
+        """Stop what is out for a request."""
+        life = call.life
+        if life.view is not None:
+            life.view.in_flight -= 1
+        if call.sending is not None:
+            call.sending.cancel()
+            call.sending = None
+        else:
+            self.loop.post(self.gate, OfferWithdrawn(life.number))
+
+    def _forget(self, call):
+        call.timer.cancel()
+        self.calls.pop(call.life.number, None)
+        self.by_exchange.pop(call.exchange, None)
+
+    def _id(self, call):
+        request_id = call.exchange.request.find(self.names.request_id.lower)
+        return request_id.decode("latin-1")
--- /dev/null
+++ b/packages/cyclamentally-calls/cyclamentally_calls/outcomes.py
@@ -0,0 +1,27 @@
+"""Outcomes of sending a request over a connection."""
+
+from dataclasses import dataclass
+
+from cyclamentally_calls.http_codec import Answer
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """A whole answer that belongs to the request."""
+
+    answer: Answer
+
+
+@dataclass(frozen=True, slots=True)
+class NotSent:
+    """No byte of the request has left: it has not run."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """The request was sent and got no whole answer: it may have run."""
+
+    detail: str
+    is_timeout: bool = False
--- /dev/null
+++ b/packages/cyclamentally-calls/cyclamentally_calls/peer_codec.py
@@ -0,0 +1,97 @@
+"""Headers that one node adds for another on the way to an upstream."""
+
+from msgspec import DecodeError
+from msgspec.json import decode, encode
+
+from cyclamentally.errors import Kind, Refused
+from cyclamentally.gate import Load
+
+TICKET_HEADER = b"Cyclamentally-Ticket"
+REFUSED_HEADER = b"Cyclamentally-Refused"
+LOAD_HEADER = b"Cyclamentally-Load"
+PEER_HEADERS = frozenset(
+    name.lower() for name in (TICKET_HEADER, REFUSED_HEADER, LOAD_HEADER)
+)
+REFUSED_STATUS = 503
+MS = 1_000
+TICKET_FIELDS = 5
+
+
+class PeerTicket:
+    """What the sender's node tells the gate of a request.
+
+    Parameters
+    ----------
+    upstream, service, route : str
+        Whom it means and by which route.
+    priority : int
+        Rank; 0 is the most urgent.
+    left_s : float
+        Time until the answer is of no use, in seconds.
+    """
+
+    __slots__ = ("left_s", "priority", "route", "service", "upstream")
+
+    def __init__(self, upstream, service, route, priority, left_s):
+        self.upstream = upstream
+        self.service = service
+        self.route = route
+        self.priority = priority
+        self.left_s = left_s
+
+
+def encode_ticket(ticket):
+    """Return the header that carries a `PeerTicket`."""
+    left_ms = max(0, int(ticket.left_s * MS))
+    fields = [ticket.upstream, ticket.service, ticket.route, ticket.priority, left_ms]
+    return (TICKET_HEADER, encode(fields))
+
+
+def decode_ticket(value):
+    """Return the `PeerTicket` of a header value, or None if it is none."""
+    try:
+        fields = decode(value)
+    except DecodeError:
+        return None
+    if not isinstance(fields, list) or len(fields) != TICKET_FIELDS:
+        return None
+    upstream, service, route, priority, left_ms = fields
+    if not all(isinstance(text, str) for text in (upstream, service, route)):
+        return None
+    if not isinstance(priority, int) or not isinstance(left_ms, int):
+        return None
+    return PeerTicket(upstream, service, route, priority, left_ms / MS)
+
+
+def encode_refusal(refusal):
+    """Return the header that carries a `Refused`."""
+    wait_ms = None if refusal.wait is None else int(refusal.wait * MS)
+    return (REFUSED_HEADER, encode([str(refusal.kind), refusal.detail, wait_ms]))
+
+
+def decode_refusal(value):
+    """Return the `Refused` of a header value.
+
+    A value that cannot be read says nothing, so the request may have run.
+    """
+    try:
+        kind, detail, wait_ms = decode(value)
+        wait = None if wait_ms is None else wait_ms / MS
+        return Refused(Kind(kind), str(detail), wait)
+    except (DecodeError, ValueError, TypeError):
+        return Refused(Kind.UPSTREAM_FAILED, "the gate's refusal cannot be read")
+
+
+def encode_load(load):
+    """Return the header that carries a `Load`."""
+    service_ms = int(load.service_s * MS)
+    return (LOAD_HEADER, encode([load.busy, load.waiting, load.slots, service_ms]))
+
+
+def decode_load(value):
+    """Return the `Load` of a header value, or None if it is none."""
+    try:
+        busy, waiting, slots, service_ms = decode(value)
+        return Load(int(busy), int(waiting), int(slots), service_ms / MS)
+    except (DecodeError, ValueError, TypeError):
+        return None
--- /dev/null
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
@@ -0,0 +1,408 @@
+"""The task that owns the connections to the platform's store."""
+
+from functools import partial
+
+from cyclamentally.hosts import HostDirectory, HostEntry
+from cyclamentally.registration import (
+    AskLease,
+    KeepLease,
+    Registration,
+    RemoveEntry,
+    Wake,
+    WriteEntry,
+)
+from cyclamentally.store_outcomes import (
+    Changes,
+    Conflict,
+    HistoryLost,
+    LeaseEnded,
+    LeaseGranted,
+    LeaseKept,
+    Page,
+    StoredItem,
+    StoreFailed,
+    Written,
+)
+from cyclamentally.watching import AwaitChanges, ReadPage, Watch, WatchSink
+from cyclamentally_calls.call_events import (
+    DrainBegun,
+    HostFailed,
+    HostsReplaced,
+    RoutesReplaced,
+    UpstreamChanged,
+)
+from cyclamentally_calls.client_connection import ConnectionPool, Sending
+from cyclamentally_calls.entry_codec import decode_entry, encode_entry
+from cyclamentally_calls.http_codec import encode_request
+from cyclamentally_calls.loop import Task
+from cyclamentally_calls.outcomes import Answered
+
+HOSTS_PREFIX = "cyclamentally/hosts/"
+CALL_S = 1.0
+CONNECT_S = 0.5
+SILENCE_S = 2.0
+IDLE_S = 30.0
+WATCH_MARGIN_S = 2.0
+TICK_S = 0.5
+
+REGISTRATION_EVENTS = {
+    LeaseGranted: "lease_granted",
+    LeaseKept: "lease_kept",
+    LeaseEnded: "lease_ended",
+    Written: "written",
+    Conflict: "failed",
+    StoreFailed: "failed",
+}
+WATCH_EVENTS = {
+    Changes: "changes",
+    HistoryLost: "history_lost",
+    StoreFailed: "failed",
+}
+
+
+class RouteSink(WatchSink):
+    """Takes over configurations.
+
+    Parameters
+    ----------
+    task : StoreTask
+        Owner.
+    """
+
+    __slots__ = ("task",)
+
+    def __init__(self, task):
+        self.task = task
+
+    def on_listing(self, items):
+        """Take over the stored configuration, if there is one."""
+        for item in items:
+            self.task.take_configuration(item)
+
+    def on_changes(self, changes):
+        """Take over the newest configuration."""
+        for change in changes:
+            if isinstance(change, StoredItem):
+                self.task.take_configuration(change)
+
+
+class HostSink(WatchSink):
+    """Takes over the entries of hosts.
+
+    Parameters
+    ----------
+    task : StoreTask
+        Owner.
+    """
+
+    __slots__ = ("task",)
+
+    def __init__(self, task):
+        self.task = task
+
+    def on_listing(self, items):
+        """Take over all entries."""
+        self.task.take_hosts(items)
+
+    def on_changes(self, changes):
+        """Take over changed and removed entries."""
+        self.task.change_hosts(changes)
+
+
+class Place:
+    """Who and where a node is.
+
+    Parameters
+    ----------
+    name, domain, region : str
+        Host, failure domain, region.
+    address : str
+        ``IP:port`` for other nodes.
+    """
+
+    __slots__ = ("address", "domain", "name", "region")
+
+    def __init__(self, name, domain, region, address):
+        self.name = name
+        self.domain = domain
+        self.region = region
+        self.address = address
+
+
+class StoreTask(Task):
+    """Follow configuration and hosts; keep this host listed.
+
+    Parameters
+    ----------
+    loop : Loop
+        Event loop.
+    address : str
+        ``IP:port`` of the store.
+    dialect : StoreDialect
+        Encoding of calls.
+    config_prefix : str
+        Prefix of the configuration's key.
+    decode_routes : callable
+        Takes stored bytes, returns a `RouteTable` or None.
+    place : Place
+        This host.
+    random : random.Random
+        Spreads retries.
+    counters : Counters
+        Counts.
+    log : DecisionLog
+        Log.
+    """
+
+    __slots__ = (
+        "address",
+        "counters",
+        "decode_routes",
+        "dialect",
+        "directory",
+        "is_stopping",
+        "listeners",
+        "log",
+        "loop",
+        "place",
+        "pool",
+        "registration",
+        "table",
+        "timer",
+        "wakes",
+        "watches",
+        "watching",
+        "well_since",
+    )
+
+    def __init__(
+        self,
+        loop,
+        address,
+        dialect,
+        config_prefix,
+        decode_routes,
+        place,
+        random,
+        counters,
+        log,
+    ):
+        self.loop = loop
+        self.address = address
+        self.dialect = dialect
+        self.decode_routes = decode_routes
+        self.place = place
+        self.counters = counters
+        self.log = log
+        self.pool = ConnectionPool(loop, IDLE_S, CONNECT_S, SILENCE_S)
+        self.registration = Registration(random)
+        self.directory = HostDirectory()
+        self.table = None
+        self.watches = {
+            "routes": Watch(config_prefix, RouteSink(self), random),
+            "hosts": Watch(HOSTS_PREFIX, HostSink(self), random),
+        }
+        # The one call of each watch that is out, by the watch's prefix.
+        self.watching = {}
+        # The one timer of each event, by the object that it is for.
+        self.wakes = {}
+        self.listeners = []
+        self.well_since = None
+        self.is_stopping = None
+        self.timer = None
+
+    @property
+    def key(self):
+        """Key of this host's entry."""
+        return HOSTS_PREFIX + self.place.name
+
+    def start(self):
+        """Read configuration and hosts, and follow them."""
+        for watch in self.watches.values():
+            self._carry_out_watch(watch, watch.begin_listing())
+        self.timer = self.loop.call_after(TICK_S, self._tick)
+
+    def close(self):
+        """Close the connections."""
+        self.timer.cancel()
+        self.pool.close()
+
+    def receive(self, message):
+        """Handle `UpstreamChanged`, `HostFailed` and `DrainBegun`."""
+        if isinstance(message, UpstreamChanged):
+            p = self.place
+            entry = HostEntry(p.name, p.domain, p.region, p.address, message.upstream)
+            self._register("wanted", entry)
+        elif isinstance(message, HostFailed):
+            if message.name in self.directory.unlisted:
+                self.directory.fail(message.name)
+                self._tell_hosts()
+        elif isinstance(message, DrainBegun):
+            self._register("leave")
+
+    # Sinks of the watches.
+
+    def take_configuration(self, item):
+        """Put a configuration in force if it can be read and is newer."""
+        table = self.decode_routes(item.value)
+        if table is None:
+            self.counters.add("configurations_refused_total", "unreadable")
+            self.log.write("configuration_refused", revision=item.revision)
+            return
+        if self.table is not None and table.version <= self.table.version:
+            return
+        self.table = table
+        self.log.write("configuration", version=table.version, revision=item.revision)
+        self._tell(RoutesReplaced(table))
+
+    def take_hosts(self, items):
+        """Take over a whole listing of hosts."""
+        listed = []
+        for item in items:
+            entry = self._decode_host(item)
+            if entry is not None:
+                listed.append((entry, item.revision))
+        self.directory.replace(listed, self.loop.clock())
+        if all(item.key != self.key for item in items):
+            self._register("vanished")
+        self._tell_hosts()
+
+    def change_hosts(self, changes):
+        """Take over changes of hosts in their order."""
+        for change in changes:
+            if change.key == self.key:
+                self._check_own(change)
+            if isinstance(change, StoredItem):
+                entry = self._decode_host(change)
+                if entry is not None:
+                    self.directory.put(entry, change.revision)
+            else:
+                name = change.key[len(HOSTS_PREFIX) :]
+                self.directory.remove(name, change.revision, self.loop.clock())
+        self._tell_hosts()
+
+    def _check_own(self, change):
+        """Write the own entry again if someone else changed or removed it."""
+        if isinstance(change, StoredItem):
+            written = self.registration.written
+            if written is not None and change.value == encode_entry(written):
+                return
+        self._register("vanished")
+
+    def _decode_host(self, item):
+        entry = decode_entry(item.value)
+        if entry is None or HOSTS_PREFIX + entry.name != item.key:
+            self.counters.add("entries_refused_total", "unreadable")
+            return None
+        return entry
+
+    def _tell(self, message):
+        for listener in self.listeners:
+            self.loop.post(listener, message)
+
+    def _tell_hosts(self):
+        self._tell(HostsReplaced(self.directory.by_service))
+
+    # Effects.
+
+    def _register(self, event, message=None):
+        for effect in self.registration.fire(event, message) or ():
+            if isinstance(effect, AskLease):
+                self._call(self.dialect.grant_lease(effect.ttl_s), self._registered)
+            elif isinstance(effect, KeepLease):
+                self._call(self.dialect.keep_lease(effect.lease), self._registered)
+            elif isinstance(effect, WriteEntry):
+                value = encode_entry(effect.entry)
+                call = self.dialect.write(self.key, value, effect.lease)
+                self._call(call, self._registered)
+            elif isinstance(effect, RemoveEntry):
+                self._call(self.dialect.remove(self.key), self._registered)
+            elif isinstance(effect, Wake):
+                self._wake("registration", effect, self._register)
+
+    def _registered(self, outcome):
+        self._register(REGISTRATION_EVENTS[type(outcome)], outcome)
+
+    def _carry_out_watch(self, watch, effects):
+        for effect in effects:
+            if isinstance(effect, ReadPage):
+                call = self.dialect.read_page(effect.prefix, effect.after)
+                self._ask(watch, call, CALL_S)
+            elif isinstance(effect, AwaitChanges):
+                call = self.dialect.await_changes(
+                    effect.prefix, effect.revision, effect.wait_s
+                )
+                self._ask(watch, call, effect.wait_s + WATCH_MARGIN_S)
+            elif isinstance(effect, Wake):
+                fire = partial(self._fire_watch, watch)
+                self._wake(watch.prefix, effect, fire)
+
+    def _ask(self, watch, call, limit):
+        """Make the call of a watch; an earlier one of it is given up."""
+        earlier = self.watching.get(watch.prefix)
+        if earlier is not None:
+            earlier.cancel()
+        on_outcome = partial(self._watched, watch)
+        self.watching[watch.prefix] = self._call(call, on_outcome, limit)
+
+    def _watched(self, watch, outcome):
+        if isinstance(outcome, Page):
+            event = "page" if outcome.has_more else "last_page"
+        else:
+            event = WATCH_EVENTS[type(outcome)]
+        self._fire_watch(watch, event, outcome)
+
+    def _fire_watch(self, watch, event, message=None):
+        self._carry_out_watch(watch, watch.fire(event, message))
+
+    def _wake(self, owner, effect, fire):
+        key = (owner, effect.event)
+        if key in self.wakes:
+            self.wakes[key].cancel()
+        run = partial(fire, effect.event)
+        self.wakes[key] = self.loop.call_after(effect.delay_s, run)
+
+    def _call(self, call, on_outcome, limit=CALL_S):
+        headers = [(b"Host", self.address.encode())]
+        if call.body:
+            headers.append((b"Content-Type", b"application/json"))
+        data = encode_request(
+            call.method, call.target, headers, call.body, bool(call.body)
+        )
+
+        def finish(result):
+            on_outcome(self._outcome(call, result))
+
+        self.counters.add("store_calls_total", call.method.decode())
+        sending = Sending(data, None, finish)
+        self.pool.send(self.address, sending, self.loop.clock() + limit)
+        return sending
+
+    def _outcome(self, call, result):
+        if isinstance(result, Answered):
+            outcome = call.decode(result.answer.status, result.answer.body)
+        else:
+            outcome = StoreFailed(result.detail, may_have_run=True)
+        if isinstance(outcome, StoreFailed):
+            self.counters.add("store_failures_total")
+            if self.well_since is not None:
+                self.log.write("store_ill", detail=outcome.detail)
+            self.well_since = None
+        elif self.well_since is None:
+            self.well_since = self.loop.clock()
+            self.log.write("store_well")
+            self._return_to_store()
+        return outcome
+
+    def _return_to_store(self):
+        """Ask anew for all that may have been missed while the store was ill."""
+        for watch in self.watches.values():
+            if watch.state != "listing":
+                self._fire_watch(watch, "store_returned")
+
+    def _tick(self):
+        before = len(self.directory.entries)
+        self.directory.tick(self.loop.clock(), self.well_since)
+        if len(self.directory.entries) != before:
+            self._tell_hosts()
+        self.timer = self.loop.call_after(TICK_S, self._tick)
--- /dev/null
+++ b/packages/cyclamentally-calls/cyclamentally_calls/stream.py
@@ -0,0 +1,271 @@
+"""Non-blocking TCP streams and listeners."""
+
+from abc import ABC, abstractmethod
+from errno import EINPROGRESS
+from select import EPOLLIN, EPOLLOUT
+from socket import (
+    AF_INET,
+    IPPROTO_TCP,
+    SHUT_WR,
+    SO_ERROR,
+    SO_KEEPALIVE,
+    SO_REUSEADDR,
+    SOCK_STREAM,
+    SOL_SOCKET,
+    TCP_KEEPCNT,
+    TCP_KEEPIDLE,
+    TCP_KEEPINTVL,
+    TCP_NODELAY,
+    TCP_USER_TIMEOUT,
+    socket,
+)
+
+from cyclamentally_calls.loop import BROKEN
+
+READ_BYTES = 65_536
+# Callers of a whole failure domain may open connections at the same moment.
+BACKLOG = 512
+# Bounds a peer's silence on an idle connection to 1 + 2 x 1 s.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_GAP_S = 1
+KEEPALIVE_PROBES = 2
+MS = 1_000
+
+
+class StreamOwner(ABC):
+    """What a stream reports to."""
+
+    __slots__ = ()
+
+    @abstractmethod
+    def on_connected(self):
+        """Handle the end of the connection's set-up."""
+
+    @abstractmethod
+    def on_bytes(self, data):
+        """Handle received bytes."""
+
+    @abstractmethod
+    def on_end(self, reason):
+        """Handle the peer's end; the reason is empty for an orderly one."""
+
+
+class Stream:
+    """One TCP connection.
+
+    Parameters
+    ----------
+    loop : Loop
+        Event loop.
+    connection : socket.socket
+        Connected or connecting socket, non-blocking.
+    owner : StreamOwner
+        Receiver of bytes and of the end.
+    """
+
+    __slots__ = (
+        "descriptor",
+        "events",
+        "is_connected",
+        "is_open",
+        "is_shut",
+        "loop",
+        "owner",
+        "received",
+        "sent",
+        "socket",
+        "unsent",
+    )
+
+    def __init__(self, loop, connection, owner, is_connected=True):
+        self.loop = loop
+        self.socket = connection
+        self.descriptor = connection.fileno()
+        self.owner = owner
+        self.is_connected = is_connected
+        self.is_open = True
+        self.is_shut = False
+        self.unsent = bytearray()
+        self.sent = 0
+        self.received = 0
+        self.events = EPOLLIN if is_connected else EPOLLOUT
+        loop.watch(self.descriptor, self.events, self._on_events)
+
+    def write(self, data):
+        """Send bytes now or as soon as the peer takes them."""
+        if not self.is_open:
+            return
+        if self.unsent or not self.is_connected:
+            self.unsent += data
+            return
+        try:
+            taken = self.socket.send(data)
+        except BlockingIOError:
+            taken = 0
+        except OSError as error:
+            self._end(str(error))
+            return
+        self.sent += taken
+        if taken < len(data):
+            self.unsent += data[taken:]
+            self._wait_for(EPOLLIN | EPOLLOUT)
+
+    def shut(self):
+        """Tell the peer, after all bytes, that nothing more is written."""
+        self.is_shut = True
+        if not self.unsent:
+            self._shut_down()
+
+    def close(self):
+        """Close the socket; the owner is not told."""
+        if self.is_open:
+            self.is_open = False
+            self.loop.forget(self.descriptor)
+            self.socket.close()
+
+    def bound_silence(self, timeout_s):
+        """Break the connection if the peer acknowledges nothing for a time."""
+        self.socket.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, int(timeout_s * MS))
+        self.socket.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
+        self.socket.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+        self.socket.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_GAP_S)
+        self.socket.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES)
+
+    def _shut_down(self):
+        try:
+            self.socket.shutdown(SHUT_WR)
+        except OSError as error:
+            self._end(str(error))
+
+    def _on_events(self, events):
+        if not self.is_connected:
+            self._finish_connect()
+            return
+        if events & EPOLLOUT:
+            self._flush()
+        if self.is_open and events & (EPOLLIN | BROKEN):
+            self._read()
+
+    def _finish_connect(self):
+        error = self.socket.getsockopt(SOL_SOCKET, SO_ERROR)
+        if error:
+            self._end(f"connect failed: errno {error}")
+            return
+        self.is_connected = True
+        self._wait_for(EPOLLIN)
+        self.owner.on_connected()
+        if self.is_open and self.unsent:
+            self._flush()
+
+    def _flush(self):
+        try:
+            taken = self.socket.send(self.unsent)
+        except BlockingIOError:
+            taken = 0
+        except OSError as error:
+            self._end(str(error))
+            return
+        self.sent += taken
+        del self.unsent[:taken]
+        self._wait_for(EPOLLIN | EPOLLOUT if self.unsent else EPOLLIN)
+        if self.is_shut and not self.unsent:
+            self._shut_down()
+
+    def _read(self):
+        try:
+            data = self.socket.recv(READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self._end(str(error))
+            return
+        if data:
+            self.received += len(data)
+            self.owner.on_bytes(data)
+        else:
+            self._end("")
+
+    def _wait_for(self, events):
+        if events != self.events:
+            self.events = events
+            self.loop.change(self.descriptor, events)
+
+    def _end(self, reason):
+        if self.is_open:
+            self.close()
+            self.owner.on_end(reason)
+
+
+class Listener:
+    """A listening socket.
+
+    Parameters
+    ----------
+    loop : Loop
+        Event loop.
+    address : str
+        ``IP:port``.
+    on_socket : callable
+        Takes each accepted socket.
+    """
+
+    __slots__ = ("address", "loop", "on_socket", "socket")
+
+    def __init__(self, loop, address, on_socket):
+        self.loop = loop
+        self.address = address
+        self.on_socket = on_socket
+        self.socket = None
+
+    @property
+    def port(self):
+        """Port that the listener is bound to."""
+        return self.socket.getsockname()[1]
+
+    def start(self):
+        """Bind and listen."""
+        self.socket = socket(AF_INET, SOCK_STREAM)
+        self.socket.setblocking(False)
+        self.socket.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
+        self.socket.bind(split_address(self.address))
+        self.socket.listen(BACKLOG)
+        self.loop.watch(self.socket.fileno(), EPOLLIN, self._accept)
+
+    def close(self):
+        """Stop listening."""
+        if self.socket is not None:
+            self.loop.forget(self.socket.fileno())
+            self.socket.close()
+            self.socket = None
+
+    def _accept(self, events):
+        while self.socket is not None:
+            try:
+                connection, _ = self.socket.accept()
+            except BlockingIOError:
+                return
+            except OSError:
+                # The peer has gone, or no descriptor is free: callers try again.
+                return
+            connection.setblocking(False)
+            connection.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+            self.on_socket(connection)
+
+
+def connect(loop, address, owner):
+    """Return a `Stream` that is being connected to ``IP:port``."""
+    connection = socket(AF_INET, SOCK_STREAM)
+    connection.setblocking(False)
+    connection.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+    error = connection.connect_ex(split_address(address))
+    stream = Stream(loop, connection, owner, is_connected=False)
+    if error not in (0, EINPROGRESS):
+        # Reported from the loop, so that the caller knows the stream by then.
+        loop.call_after(0, lambda: stream._end(f"connect failed: errno {error}"))
+    return stream
+
+
+def split_address(address):
+    """Return the host and the port of ``IP:port``."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- a/packages/cyclamentally/cyclamentally/errors.py
+++ b/packages/cyclamentally/cyclamentally/errors.py
@@ -28,6 +28,10 @@
     UPSTREAM_TIMEOUT = "upstream_timeout"
     UPSTREAM_FAILED = "upstream_failed"
     UPSTREAM_TRUNCATED = "upstream_truncated"
+    UPSTREAM_LEFT = "upstream_left"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    REQUEST_TIMEOUT = "request_timeout"
+    ATTEMPT_NOT_RUN = "attempt_not_run"
     REQUEST_QUARANTINED = "request_quarantined"
     KEY_IN_PROGRESS = "key_in_progress"
     KEY_REUSED = "key_reused"
@@ -94,6 +98,10 @@
     Kind.UPSTREAM_TIMEOUT: Answer(504, Ran.UNKNOWN, None, EXIT_UNKNOWN),
     Kind.UPSTREAM_FAILED: Answer(502, Ran.UNKNOWN, None, EXIT_UNKNOWN),
     Kind.UPSTREAM_TRUNCATED: Answer(502, Ran.UNKNOWN, None, EXIT_UNKNOWN),
+    Kind.UPSTREAM_LEFT: Answer(503, Ran.NO, 1, EXIT_UNAVAILABLE),
+    Kind.HEADERS_TOO_LARGE: Answer(431, Ran.NO, None, EXIT_INPUT),
+    Kind.REQUEST_TIMEOUT: Answer(408, Ran.NO, None, EXIT_UNAVAILABLE),
+    Kind.ATTEMPT_NOT_RUN: Answer(503, Ran.NO, 1, EXIT_UNAVAILABLE),
     Kind.REQUEST_QUARANTINED: Answer(422, Ran.NO, None, EXIT_INPUT),
     Kind.KEY_IN_PROGRESS: Answer(409, Ran.UNKNOWN, 1, EXIT_CONFLICT),
     Kind.KEY_REUSED: Answer(422, Ran.NO, None, EXIT_INPUT),
--- /dev/null
+++ b/packages/cyclamentally/cyclamentally/gate.py
@@ -0,0 +1,408 @@
+"""Admission of work to the one upstream beside a node.
+
+All requests for an upstream pass the node on its host, so its slots and its
+queue are known exactly there, and what is refused there has not run.
+"""
+
+from cyclamentally.chart import runs_chart
+from cyclamentally.effects import Count, StateChanged
+from cyclamentally.errors import Kind, Refused
+from cyclamentally.records import Record
+
+# Time of a request on a route of which nothing is known yet, in seconds.
+FIRST_SERVICE_S = 0.05
+SERVICE_WEIGHT = 0.15
+# Bounds the memory of service times; configurations have up to 2,000 routes.
+MAX_KNOWN_ROUTES = 256
+# A request is refused unless this share of its usual time fits its deadline.
+LEAST_SHARE_OF_SERVICE = 0.6
+LEAST_WAIT_S = 0.02
+
+
+class Heartbeat(Record):
+    """What an upstream says of itself.
+
+    Parameters
+    ----------
+    upstream : str
+        Identifier.
+    service : str
+        Service that it belongs to.
+    address : str
+        ``IP:port`` where it takes requests.
+    started_ms : int
+        Start of its lifetime, Unix milliseconds; 0 if it does not say.
+    sequence : int
+        Count of its heartbeats in this lifetime.
+    slots : int
+        Requests that it runs at once.
+    cold_s : float
+        Time for which it will still be slow, in seconds.
+    is_leaving : bool
+        Whether it is about to end.
+    """
+
+    __slots__ = (
+        "upstream",
+        "service",
+        "address",
+        "started_ms",
+        "sequence",
+        "slots",
+        "cold_s",
+        "is_leaving",
+    )
+
+    def __init__(
+        self,
+        upstream,
+        service,
+        address,
+        started_ms,
+        sequence,
+        slots,
+        cold_s,
+        is_leaving,
+    ):
+        self.upstream = upstream
+        self.service = service
+        self.address = address
+        self.started_ms = started_ms
+        self.sequence = sequence
+        self.slots = slots
+        self.cold_s = cold_s
+        self.is_leaving = is_leaving
+
+
+class UpstreamEnded(Record):
+    """An upstream says that it is gone or about to be.
+
+    Parameters
+    ----------
+    upstream : str
+        Its identifier.
+    said_ms : int
+        When it said so, Unix milliseconds on this host; a lifetime of the
+        same name that has started later is another one.
+    """
+
+    __slots__ = ("upstream", "said_ms")
+
+    def __init__(self, upstream, said_ms):
+        self.upstream = upstream
+        self.said_ms = said_ms
+
+
+class Ticket(Record):
+    """What the gate has to know of a request.
+
+    Parameters
+    ----------
+    number : int
+        Identifies the request at this gate.
+    upstream, service : str
+        Whom the sender means.
+    route : str
+        Route, for the usual time of its requests.
+    priority : int
+        Rank; 0 is the most urgent.
+    expires : float
+        Time in seconds after which the answer is of no use.
+    """
+
+    __slots__ = ("number", "upstream", "service", "route", "priority", "expires")
+
+    def __init__(self, number, upstream, service, route, priority, expires):
+        self.number = number
+        self.upstream = upstream
+        self.service = service
+        self.route = route
+        self.priority = priority
+        self.expires = expires
+
+    @property
+    def order(self):
+        """Key by which waiting requests are started."""
+        return (self.priority, self.expires)
+
+
+class StartWork(Record):
+    """Effect: hand a request to the upstream."""
+
+    __slots__ = ("number", "heartbeat")
+
+    def __init__(self, number, heartbeat):
+        self.number = number
+        self.heartbeat = heartbeat
+
+
+class RefuseWork(Record):
+    """Effect: a request is not handed over; it has not run."""
+
+    __slots__ = ("number", "refusal")
+
+    def __init__(self, number, refusal):
+        self.number = number
+        self.refusal = refusal
+
+
+class Load(Record):
+    """Load of an upstream as its gate sees it.
+
+    Parameters
+    ----------
+    busy, waiting, slots : int
+        Requests that run, requests that wait, and the limit of the former.
+    service_s : float
+        Usual time of a request on the route in question, in seconds.
+    """
+
+    __slots__ = ("busy", "waiting", "slots", "service_s")
+
+    def __init__(self, busy, waiting, slots, service_s):
+        self.busy = busy
+        self.waiting = waiting
+        self.slots = slots
+        self.service_s = service_s
+
+
+class Running(Record):
+    """A request that the upstream has, and since when in seconds."""
+
+    __slots__ = ("ticket", "since")
+
+    def __init__(self, ticket, since):
+        self.ticket = ticket
+        self.since = since
+
+
+@runs_chart("gate")
+class Gate:
+    """Decide which requests the upstream gets and when; runs ``gate``."""
+
+    __slots__ = (
+        "heard_at",
+        "heartbeat",
+        "running",
+        "service_times",
+        "state",
+        "waiting",
+    )
+
+    def __init__(self):
+        self.state = self.chart.initial
+        self.heartbeat = None
+        self.heard_at = 0.0
+        self.waiting = []
+        self.running = {}
+        self.service_times = {}
+
+    # Guards and actions of the chart.
+
+    def is_next_lifetime(self, heartbeat):
+        """Whether a heartbeat begins a lifetime later than the present one."""
+        present = self.heartbeat
+        if heartbeat.started_ms != present.started_ms:
+            return heartbeat.started_ms > present.started_ms
+        return heartbeat.upstream != present.upstream
+
+    def is_same_lifetime(self, heartbeat):
+        """Whether a heartbeat speaks of the present lifetime."""
+        present = self.heartbeat
+        same_start = heartbeat.started_ms == present.started_ms
+        return same_start and heartbeat.upstream == present.upstream
+
+    def is_newer(self, heartbeat):
+        """Whether a heartbeat continues the present lifetime."""
+        later = heartbeat.sequence > self.heartbeat.sequence
+        return later and self.is_same_lifetime(heartbeat)
+
+    def begin_lifetime(self, heartbeat):
+        """Take over another upstream; nothing known of the former holds."""
+        effects = self.refuse_waiting(heartbeat)
+        self.heartbeat = heartbeat
+        self.running = {}
+        self.service_times = {}
+        return effects
+
+    def note_heartbeat(self, heartbeat):
+        """Take over what the upstream says now."""
+        self.heartbeat = heartbeat
+
+    def refuse_waiting(self, message):
+        """Send the waiting requests back; other upstreams may take them."""
+        waiting, self.waiting = self.waiting, []
+        return [self._refuse(t, Kind.UPSTREAM_LEFT, "leaves") for t in waiting]
+
+    # Events.
+
+    def hear(self, heartbeat, now):
+        """Take in a heartbeat; returns effects."""
+        event = "leaving" if heartbeat.is_leaving else "ready"
+        known = self.heartbeat
+        if known is None or not known.started_ms > heartbeat.started_ms:
+            self.heard_at = now
+        return self._fire(event, heartbeat) + self._start(now)
+
+    def end(self, upstream, said_ms, now):
+        """Close the gate to an upstream that says that it has ended.
+
+        Parameters
+        ----------
+        upstream : str
+            Its identifier.
+        said_ms : int
+            When it said so, Unix milliseconds.
+        now : float
+            Time in seconds.
+        """
+        known = self.heartbeat
+        if known is None:
+            # Kept so that a late heartbeat does not open the gate again.
+            last = Heartbeat(upstream, "", "", said_ms, 0, 1, 0.0, True)
+            return self.hear(last, now)
+        if known.upstream != upstream:
+            return []
+        last = Heartbeat(
+            upstream,
+            known.service,
+            known.address,
+            known.started_ms,
+            known.sequence,
+            known.slots,
+            0.0,
+            True,
+        )
+        return self.hear(last, now)
+
+    def lose(self, event):
+        """Note that the upstream is ``silent`` or ``unreachable``."""
+        return self._fire(event, None)
+
+    def admit(self, ticket, now):
+        """Decide on a request: `StartWork`, `RefuseWork`, or it waits."""
+        refusal = self._check(ticket)
+        if refusal is not None:
+            return [RefuseWork(ticket.number, refusal)]
+        wait = self.expected_wait(ticket, now)
+        if not self._fits(ticket, now + wait):
+            detail = f"needs a wait of {wait:.3f} s"
+            return [self._refuse(ticket, Kind.QUEUE_FULL, detail, self._wait_hint(now))]
+        self.waiting.append(ticket)
+        return self._start(now)
+
+    def finish(self, number, is_answered, now):
+        """Note that a request no longer runs; returns effects."""
+        running = self.running.pop(number, None)
+        if running is not None and is_answered:
+            self._learn(running.ticket.route, now - running.since)
+        return self._start(now)
+
+    def cancel(self, number):
+        """Forget a request that waits."""
+        self.waiting = [t for t in self.waiting if t.number != number]
+
+    def tick(self, now):
+        """Refuse waiting requests that can no longer be answered in time."""
+        return self._start(now)
+
+    # Views.
+
+    def load(self, route):
+        """Return the `Load`, with the usual time of a route's requests."""
+        slots = self.heartbeat.slots if self.heartbeat else 1
+        return Load(len(self.running), len(self.waiting), slots, self.usual_time(route))
+
+    def usual_time(self, route):
+        """Return the usual time of a route's requests, in seconds."""
+        return self.service_times.get(route, FIRST_SERVICE_S)
+
+    def expected_wait(self, ticket, now):
+        """Return the time until a request would start, in seconds."""
+        free = self.heartbeat.slots - len(self.running) - len(self.waiting)
+        if free > 0:
+            return 0.0
+        work = sum(self._remaining(r, now) for r in self.running.values())
+        for other in self.waiting:
+            if other.order <= ticket.order:
+                work += self.usual_time(other.route)
+        return work / self.heartbeat.slots
+
+    def _check(self, ticket):
+        present = self.heartbeat
+        if present is None or self.state == "empty":
+            return Refused(Kind.UPSTREAM_LEFT, "no upstream is known here")
+        is_meant = ticket.upstream in ("", present.upstream)
+        if not is_meant or ticket.service != present.service:
+            return Refused(Kind.UPSTREAM_LEFT, f"{present.upstream} is here now")
+        if self.state == "left":
+            return Refused(Kind.UPSTREAM_LEFT, "the upstream leaves")
+        if self.state == "away":
+            return Refused(Kind.UPSTREAM_UNREACHABLE, "the upstream is silent")
+        return None
+
+    def _remaining(self, running, now):
+        usual = self.usual_time(running.ticket.route)
+        # A request that is over its usual time is taken to have half of it left.
+        return max(usual - (now - running.since), usual / 2)
+
+    def _fits(self, ticket, start):
+        needed = LEAST_SHARE_OF_SERVICE * self.usual_time(ticket.route)
+        return start + needed <= ticket.expires
+
+    def _wait_hint(self, now):
+        """Return the time until a slot is likely to be free, in seconds."""
+        work = sum(self._remaining(r, now) for r in self.running.values())
+        work += sum(self.usual_time(t.route) for t in self.waiting)
+        return max(LEAST_WAIT_S, work / self.heartbeat.slots)
+
+    def _start(self, now):
+        if self.state != "open":
+            return []
+        effects = []
+        while self.waiting and len(self.running) < self.heartbeat.slots:
+            ticket = min(self.waiting, key=_order_of)
+            self.waiting.remove(ticket)
+            if self._fits(ticket, now):
+                self.running[ticket.number] = Running(ticket, now)
+                effects.append(StartWork(ticket.number, self.heartbeat))
+            else:
+                hint = self._wait_hint(now)
+                detail = "waited too long"
+                effects.append(self._refuse(ticket, Kind.QUEUE_TIMEOUT, detail, hint))
+        return effects + self._expire(now)
+
+    def _expire(self, now):
+        late = [t for t in self.waiting if not self._fits(t, now)]
+        if not late:
+            return []
+        self.waiting = [t for t in self.waiting if self._fits(t, now)]
+        hint = self._wait_hint(now)
+        return [
+            self._refuse(t, Kind.QUEUE_TIMEOUT, "waited too long", hint) for t in late
+        ]
+
+    def _refuse(self, ticket, kind, detail, wait=None):
+        refusal = Refused(kind, f"{ticket.service}: {detail}", wait)
+        return RefuseWork(ticket.number, refusal)
+
+    def _learn(self, route, duration):
+        known = self.service_times.get(route)
+        if known is None and len(self.service_times) >= MAX_KNOWN_ROUTES:
+            return
+        if known is None:
+            known = duration
+        self.service_times[route] = known + SERVICE_WEIGHT * (duration - known)
+
+    def _fire(self, event, message):
+        before = self.state
+        effects = self.chart.fire(self, event, message)
+        if self.state != before:
+            name = self.heartbeat.upstream if self.heartbeat else "none"
+            effects.append(Count("gate_changes_total", self.state))
+            effects.append(StateChanged(f"upstream {name}", self.state, event))
+        return effects
+
+
+def _order_of(ticket):
+    return ticket.order
--- /dev/null
+++ b/packages/cyclamentally/cyclamentally/placing.py
@@ -0,0 +1,214 @@
+"""Choice of the upstream that a request is offered to."""
+
+from abc import ABC, abstractmethod
+
+from cyclamentally.records import Record
+
+# Round trips within a failure domain, a region and between regions, seconds;
+# from the delays of both deployments in the brief.
+DOMAIN_S = 0.0005
+REGION_S = 0.002
+FAR_S = 0.017
+# Bytes between failure domains are priced, those between regions dearly: a
+# far upstream has to be this much faster, in seconds.
+REGION_COST_S = 0.004
+FAR_COST_S = 0.03
+DOWNLOAD_FACTOR = 5.0
+# Choices within this of the best are alike; one of them is taken at random, so
+# that the nodes do not all turn to the same upstream.
+ALIKE_S = 0.004
+FIRST_SERVICE_S = 0.05
+# What an upstream's gate said of its load loses half of its weight in this time.
+LOAD_HALF_LIFE_S = 0.5
+FIRST_PAUSE_S = 0.25
+LONGEST_PAUSE_S = 4.0
+
+
+class View(Record):
+    """An upstream as this node knows it from its own requests.
+
+    Parameters
+    ----------
+    entry : HostEntry
+        The host with its upstream.
+    distance_s : float
+        Round trip plus the price of the distance, in seconds.
+    """
+
+    __slots__ = (
+        "entry",
+        "distance_s",
+        "failures",
+        "in_flight",
+        "load",
+        "paused_until",
+        "reported_at",
+        "sent_since",
+        "times",
+    )
+
+    def __init__(self, entry, distance_s):
+        self.entry = entry
+        self.distance_s = distance_s
+        self.failures = 0
+        self.in_flight = 0
+        self.load = None
+        self.paused_until = 0.0
+        self.reported_at = 0.0
+        self.sent_since = 0
+        self.times = {}
+
+    def report(self, load, route, now):
+        """Take over the load that the gate has named."""
+        self.load = load
+        self.reported_at = now
+        self.sent_since = 0
+        self.times[route] = load.service_s
+
+    def succeed(self):
+        """Note an answer."""
+        self.failures = 0
+        self.paused_until = 0.0
+
+    def fail(self, now):
+        """Note that the host did not answer; pause it, longer each time."""
+        pause = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2**self.failures)
+        self.failures = min(self.failures + 1, 10)
+        self.paused_until = now + pause
+
+    def pause(self, now, delay):
+        """Leave the upstream out for a while that its gate has named."""
+        self.paused_until = max(self.paused_until, now + delay)
+
+    def occupancy(self, now):
+        """Return the expected number of requests at the upstream."""
+        if self.load is None:
+            return self.in_flight
+        age = now - self.reported_at
+        known = self.load.busy + self.load.waiting
+        faded = known * 0.5 ** (age / LOAD_HALF_LIFE_S)
+        return max(self.in_flight, faded + self.sent_since)
+
+    def finish_time(self, route, now):
+        """Return the expected time until an answer, in seconds."""
+        usual = self.times.get(route, FIRST_SERVICE_S)
+        slots = self.entry.upstream.slots
+        excess = self.occupancy(now) + 1 - slots
+        return usual * (1 + max(0.0, excess) / slots)
+
+
+class Placement(ABC):
+    """A way to choose one of several upstreams."""
+
+    __slots__ = ()
+
+    @abstractmethod
+    def choose(self, views, rule, now):
+        """Return one `View` of a list that is not empty."""
+
+
+class RandomPlacement(Placement):
+    """Any upstream with the same probability; the baseline."""
+
+    __slots__ = ("random",)
+
+    def __init__(self, random):
+        self.random = random
+
+    def choose(self, views, rule, now):
+        """Return a random view."""
+        return self.random.choice(views)
+
+
+class EarliestPlacement(Placement):
+    """The upstream that is expected to answer first, distance included.
+
+    Parameters
+    ----------
+    random : random.Random
+        Chooses among those that are alike.
+    """
+
+    __slots__ = ("random",)
+
+    def __init__(self, random):
+        self.random = random
+
+    def choose(self, views, rule, now):
+        """Return one of the views with the least expected cost."""
+        factor = DOWNLOAD_FACTOR if rule.kind.name == "DOWNLOAD" else 1.0
+        costs = [
+            view.finish_time(rule.name, now) + factor * view.distance_s
+            for view in views
+        ]
+        bound = min(costs) + ALIKE_S
+        alike = [v for v, cost in zip(views, costs, strict=True) if cost <= bound]
+        return alike[0] if len(alike) == 1 else self.random.choice(alike)
+
+
+class Places:
+    """The views of all upstreams, kept up with the directory.
+
+    Parameters
+    ----------
+    domain, region : str
+        Place of this node.
+    placement : Placement
+        The choice.
+    """
+
+    __slots__ = ("domain", "placement", "region", "views")
+
+    def __init__(self, domain, region, placement):
+        self.domain = domain
+        self.region = region
+        self.placement = placement
+        self.views = {}
+
+    def update(self, entries):
+        """Take over the hosts that are known now."""
+        known = {}
+        for entry in entries:
+            view = self.views.get(entry.name)
+            if view is None or view.entry.upstream.name != entry.upstream.name:
+                view = View(entry, self._distance(entry))
+            view.entry = entry
+            known[entry.name] = view
+        self.views = known
+
+    def choose(self, entries, rule, tried, now):
+        """Return a `View` for a request, or None.
+
+        Parameters
+        ----------
+        entries : iterable of HostEntry
+            Upstreams of the service.
+        rule : RouteRule
+            Route of the request.
+        tried : set of str
+            Upstreams that had the request or refused it.
+        now : float
+            Time in seconds.
+        """
+        usable = []
+        paused = []
+        for entry in entries:
+            view = self.views.get(entry.name)
+            if view is None or entry.upstream.name in tried:
+                continue
+            (usable if view.paused_until <= now else paused).append(view)
+        if not usable:
+            # Better an upstream in doubt than a refusal.
+            return min(paused, key=_pause_end) if paused else None
+        return self.placement.choose(usable, rule, now)
+
+    def _distance(self, entry):
+        if entry.domain == self.domain:
+            return DOMAIN_S
+        if entry.region == self.region:
+            return REGION_S + REGION_COST_S
+        return FAR_S + FAR_COST_S
+
+
+def _pause_end(view):
+    return view.paused_until
--- /dev/null
+++ b/packages/cyclamentally/cyclamentally/registration.py
@@ -0,0 +1,120 @@
+"""The entry of this host in the platform's store, kept up by a lease."""
+
+from cyclamentally.chart import runs_chart
+from cyclamentally.limits import Backoff
+from cyclamentally.records import Record
+
+# A host that has lost power is listed this long at most, in seconds.
+LEASE_S = 8.0
+# Two renewals may fail before the lease ends.
+RENEW_S = 2.5
+# Entries have to be back within 2 s of the store's return.
+FIRST_RETRY_S = 0.1
+LONGEST_RETRY_S = 0.8
+
+
+class AskLease(Record):
+    """Effect: ask the store for a lease of some seconds."""
+
+    __slots__ = ("ttl_s",)
+
+    def __init__(self, ttl_s):
+        self.ttl_s = ttl_s
+
+
+class KeepLease(Record):
+    """Effect: let a lease run anew."""
+
+    __slots__ = ("lease",)
+
+    def __init__(self, lease):
+        self.lease = lease
+
+
+class WriteEntry(Record):
+    """Effect: write this host's entry under a lease."""
+
+    __slots__ = ("entry", "lease")
+
+    def __init__(self, entry, lease):
+        self.entry = entry
+        self.lease = lease
+
+
+class RemoveEntry(Record):
+    """Effect: remove this host's entry."""
+
+    __slots__ = ()
+
+
+class Wake(Record):
+    """Effect: run an event after a delay in seconds."""
+
+    __slots__ = ("event", "delay_s")
+
+    def __init__(self, event, delay_s):
+        self.event = event
+        self.delay_s = delay_s
+
+
+@runs_chart("registration")
+class Registration:
+    """Keep the entry listed; runs the chart ``registration``.
+
+    Parameters
+    ----------
+    random : random.Random
+        Spreads the retries of many hosts.
+    """
+
+    __slots__ = ("backoff", "entry", "lease", "random", "state", "written")
+
+    def __init__(self, random):
+        self.random = random
+        self.state = self.chart.initial
+        self.backoff = Backoff(FIRST_RETRY_S, LONGEST_RETRY_S, random)
+        self.entry = None
+        self.written = None
+        self.lease = 0
+
+    def fire(self, event, message=None):
+        """Run an event and return the effects."""
+        return self.chart.fire(self, event, message)
+
+    def is_current(self, message):
+        """Whether the written entry is still the wanted one."""
+        return self.written == self.entry
+
+    def adopt(self, entry):
+        """Take over the entry that is to be listed."""
+        self.entry = entry
+
+    def ask_lease(self, message):
+        """Ask for a new lease."""
+        return [AskLease(LEASE_S)]
+
+    def note_lease(self, granted):
+        """Keep the number of the lease."""
+        self.lease = granted.lease
+
+    def write(self, message):
+        """Write the entry under the lease."""
+        self.written = self.entry
+        return [WriteEntry(self.entry, self.lease)]
+
+    def plan_renewal(self, message):
+        """Renew the lease before it ends."""
+        self.backoff.reset()
+        return [Wake("renew", RENEW_S)]
+
+    def keep_lease(self, message):
+        """Renew the lease."""
+        return [KeepLease(self.lease)]
+
+    def pause(self, message):
+        """Try again soon, at a random moment."""
+        return [Wake("retry", FIRST_RETRY_S + self.backoff.next_delay())]
+
+    def remove(self, message):
+        """Remove the entry."""
+        return [RemoveEntry()]
--- /dev/null
+++ b/packages/cyclamentally/cyclamentally/store_outcomes.py
@@ -0,0 +1,139 @@
+"""Outcomes of calls to the platform's store, and the interface to its dialect."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+
+from cyclamentally.records import Record
+
+
+class StoreCall(Record):
+    """An encoded call to the store.
+
+    Parameters
+    ----------
+    method, target : bytes
+        HTTP method and path with query.
+    body : bytes
+        Encoded body; empty for none.
+    decode : callable
+        Takes status and body of the answer, returns an outcome.
+    """
+
+    __slots__ = ("method", "target", "body", "decode")
+
+    def __init__(self, method, target, body, decode):
+        self.method = method
+        self.target = target
+        self.body = body
+        self.decode = decode
+
+
+class StoredItem(Record):
+    """A key with its value and the revision of its last change."""
+
+    __slots__ = ("key", "value", "revision")
+
+    def __init__(self, key, value, revision):
+        self.key = key
+        self.value = value
+        self.revision = revision
+
+
+class RemovedKey(Record):
+    """A key that was removed, with the revision of its removal."""
+
+    __slots__ = ("key", "revision")
+
+    def __init__(self, key, revision):
+        self.key = key
+        self.revision = revision
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """A part of the items below a prefix."""
+
+    items: list
+    has_more: bool
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """Items and removals in order, and the revision to go on from."""
+
+    changes: list
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryLost:
+    """The changes since a revision are no longer kept."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseGranted:
+    """A lease with the time for which it holds, in seconds."""
+
+    lease: int
+    ttl_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseKept:
+    """A lease runs anew."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseEnded:
+    """There is no such lease, and no key that was bound to it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Written:
+    """All changes of a call are stored."""
+
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Conflict:
+    """Nothing was written: a key has another revision than was expected."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoreFailed:
+    """The store refused, did not answer, or sent what cannot be read."""
+
+    detail: str
+    may_have_run: bool
+
+
+class StoreDialect(ABC):
+    """How calls to the store look on the wire; each returns a `StoreCall`."""
+
+    __slots__ = ()
+
+    @abstractmethod
+    def read_page(self, prefix, after):
+        """Read items below a prefix behind a key: `Page`."""
+
+    @abstractmethod
+    def await_changes(self, prefix, revision, wait_s):
+        """Wait for changes after a revision: `Changes` or `HistoryLost`."""
+
+    @abstractmethod
+    def grant_lease(self, ttl_s):
+        """Ask for a lease: `LeaseGranted`."""
+
+    @abstractmethod
+    def keep_lease(self, lease):
+        """Let a lease run anew: `LeaseKept` or `LeaseEnded`."""
+
+    @abstractmethod
+    def write(self, key, value, lease):
+        """Write a key: `Written`, `Conflict` or `LeaseEnded`."""
+
+    @abstractmethod
+    def remove(self, key):
+        """Remove a key: `Written`."""
--- /dev/null
+++ b/packages/cyclamentally/cyclamentally/watching.py
@@ -0,0 +1,129 @@
+"""What a node knows of a part of the platform's store, kept up by a watch."""
+
+from abc import ABC, abstractmethod
+
+from cyclamentally.chart import runs_chart
+from cyclamentally.limits import Backoff
+from cyclamentally.records import Record
+from cyclamentally.registration import Wake
+
+# Longest wait of one call; the store allows 30 s.
+WATCH_S = 25.0
+# Changes that follow one another within this time cost one call, in seconds.
+GATHER_S = 0.15
+FIRST_RETRY_S = 0.1
+LONGEST_RETRY_S = 0.8
+
+
+class ReadPage(Record):
+    """Effect: read items below a prefix behind a key."""
+
+    __slots__ = ("prefix", "after")
+
+    def __init__(self, prefix, after):
+        self.prefix = prefix
+        self.after = after
+
+
+class AwaitChanges(Record):
+    """Effect: wait at the store for changes after a revision."""
+
+    __slots__ = ("prefix", "revision", "wait_s")
+
+    def __init__(self, prefix, revision, wait_s):
+        self.prefix = prefix
+        self.revision = revision
+        self.wait_s = wait_s
+
+
+class WatchSink(ABC):
+    """Receiver of the items below a prefix."""
+
+    __slots__ = ()
+
+    @abstractmethod
+    def on_listing(self, items):
+        """Take over all items; what is not among them is not there."""
+
+    @abstractmethod
+    def on_changes(self, changes):
+        """Take over `StoredItem` and `RemovedKey` in their order."""
+
+
+@runs_chart("store_watch")
+class Watch:
+    """Follow the keys below a prefix; runs the chart ``store_watch``.
+
+    Parameters
+    ----------
+    prefix : str
+        Beginning of the keys.
+    sink : WatchSink
+        Receiver of the items.
+    random : random.Random
+        Spreads the retries of many nodes.
+    """
+
+    __slots__ = ("backoff", "items", "prefix", "revision", "sink", "start", "state")
+
+    def __init__(self, prefix, sink, random):
+        self.prefix = prefix
+        self.sink = sink
+        self.state = self.chart.initial
+        self.backoff = Backoff(FIRST_RETRY_S, LONGEST_RETRY_S, random)
+        self.items = []
+        self.revision = 0
+        self.start = None
+
+    def fire(self, event, message=None):
+        """Run an event and return the effects."""
+        return self.chart.fire(self, event, message)
+
+    def begin_listing(self, message=None):
+        """Read the first page; pages of an earlier try are dropped."""
+        self.items = []
+        self.start = None
+        return [ReadPage(self.prefix, "")]
+
+    def keep_page(self, page):
+        """Collect a page.
+
+        Pages are no snapshot, so the watch goes on from the first one's
+        revision.
+        """
+        self.items += page.items
+        if self.start is None:
+            self.start = page.revision
+
+    def read_next(self, page):
+        """Read the page behind the last key."""
+        return [ReadPage(self.prefix, page.items[-1].key)]
+
+    def hand_over(self, page):
+        """Give the whole listing to the sink."""
+        self.revision = self.start
+        items, self.items = self.items, []
+        self.sink.on_listing(items)
+
+    def watch(self, message):
+        """Wait for changes after the last known revision."""
+        return [AwaitChanges(self.prefix, self.revision, WATCH_S)]
+
+    def has_changes(self, changes):
+        """Whether an answer names changes."""
+        return bool(changes.changes)
+
+    def apply(self, changes):
+        """Give changes to the sink."""
+        self.backoff.reset()
+        self.revision = max(self.revision, changes.revision)
+        if changes.changes:
+            self.sink.on_changes(changes.changes)
+
+    def gather(self, message):
+        """Wait a little before the next call."""
+        return [Wake("retry", GATHER_S)]
+
+    def pause(self, message):
+        """Try again soon, at a random moment."""
+        return [Wake("retry", FIRST_RETRY_S + self.backoff.next_delay())]
