--- /dev/null
+++ b/packages/cyclamentally-calls/cyclamentally_calls/charts/__init__.py
@@ -0,0 +1,1 @@
+"""State charts of connections."""
--- a/packages/cyclamentally-calls/cyclamentally_calls/client_connection.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/client_connection.py
@@ -62,7 +62,7 @@
             report(outcome)
 
 
-@runs_chart("upstream_connection")
+@runs_chart("upstream_connection", "cyclamentally_calls.charts")
 class ClientConnection(StreamOwner):
     """Send one request at a time; runs ``upstream_connection``.
 
--- a/packages/cyclamentally-calls/cyclamentally_calls/server_connection.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/server_connection.py
@@ -92,7 +92,7 @@
             self.connection.flush()
 
 
-@runs_chart("caller_connection")
+@runs_chart("caller_connection", "cyclamentally_calls.charts")
 class ServerConnection(StreamOwner):
     """Read requests, answer them in order; runs ``caller_connection``.
 
@@ -193,7 +193,9 @@
     def on_head(self, length, expects_continue):
         """Check the announced length of a body before it is read."""
         self.touched = self.loop.clock()
-        if length is not None and length > self.limits.body_bytes:
+        if self.parser.head_bytes > self.limits.header_bytes:
+            self._break_off(Kind.HEADERS_TOO_LARGE, "the head is too large")
+        elif length is not None and length > self.limits.body_bytes:
             self._break_off(Kind.BODY_TOO_LARGE, f"body of {length} bytes")
         elif expects_continue and not self.exchanges:
             self.stream.write(CONTINUE)
@@ -201,7 +203,7 @@
     def on_request(self, request):
         """Queue a whole request; start it unless it has to wait its turn."""
         self.began = None
-        if self.state not in ("open", "finishing"):
+        if self.state not in ("open", "finishing") or self.parser.error:
             return
         if len(self.exchanges) >= MAX_QUEUED:
             self._break_off(Kind.QUEUE_FULL, "too many requests on a connection")
@@ -244,15 +246,14 @@
         for position, exchange in enumerate(list(self.exchanges)):
             if position >= MAX_PIPELINED:
                 return
-            if exchange.is_started:
-                if not self.handler.may_overtake(exchange.request):
+            may_overtake = self.handler.may_overtake(exchange.request)
+            if not exchange.is_started:
+                if position and not may_overtake:
                     return
-                continue
-            is_free = position == 0 or self.handler.may_overtake(exchange.request)
-            if not is_free:
+                exchange.is_started = True
+                self.handler.on_request(exchange)
+            if not may_overtake:
                 return
-            exchange.is_started = True
-            self.handler.on_request(exchange)
 
     def _break_off(self, kind, detail):
         """Answer a request that cannot be read, and end the connection."""
--- /dev/null
+++ b/packages/cyclamentally-calls/cyclamentally_calls/tests/test_client_connection.py
@@ -0,0 +1,184 @@
+import pytest
+
+from cyclamentally_calls.client_connection import Sending
+from cyclamentally_calls.outcomes import Answered, Lost, NotSent
+
+
+def accept(upstream, pump):
+    upstream.setblocking(False)
+    found = []
+
+    def has_connection():
+        try:
+            found.append(upstream.accept()[0])
+        except BlockingIOError:
+            return False
+        return True
+
+    pump.until(has_connection)
+    found[0].setblocking(True)
+    found[0].settimeout(5.0)
+    return found[0]
+
+
+def whole(request_id, body=b"abc", extra=b""):
+    return b"HTTP/1.1 200 OK\r\nId: %s\r\n%sContent-Length: %d\r\n\r\n%s" % (
+        request_id,
+        extra,
+        len(body),
+        body,
+    )
+
+
+def outcome(sent, pump):
+    pump.until(lambda: sent.outcomes)
+    assert len(sent.outcomes) == 1
+    return sent.outcomes[0]
+
+
+@pytest.fixture
+def exchange(send, upstream, pump):
+    """Send a request and answer it with given bytes."""
+
+    def run(data, closes=False, is_head=False):
+        sent = send(is_head=is_head)
+        connection = accept(upstream, pump)
+        pump.until(lambda: sent.sending.connection.state == "busy")
+        pump.for_s(0.02)
+        connection.recv(1_000)
+        connection.sendall(data)
+        if closes:
+            connection.close()
+        return outcome(sent, pump), connection
+
+    return run
+
+
+def test_a_whole_answer_is_taken_and_the_connection_kept(exchange, pool, send, pump):
+    found, connection = exchange(whole(b"a1"))
+    assert isinstance(found, Answered)
+    assert found.answer.body == b"abc"
+    second = send(b"a2")
+    pump.for_s(0.02)
+    connection.sendall(whole(b"a2", b"two"))
+    assert outcome(second, pump).answer.body == b"two"
+    assert pool.opened == 1
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"HTTP/1.1 200 OK\r\nId: a1\r\nContent-Length: 10\r\n\r\nabc",
+        b"HTTP/1.1 200 OK\r\nId: a1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+        b"HTTP/1.1 200 OK\r\nId: a1\r\n",
+        b"nothing like an answer\r\n\r\n",
+        b"",
+        whole(b"b2"),
+        whole(b"")[:15] + b"\r\nContent-Length: 0\r\n\r\n",
+    ],
+    ids=["short", "chunk missing", "head", "garbage", "nothing", "other id", "no id"],
+)
+def test_what_is_no_whole_answer_to_the_request_is_lost(exchange, data):
+    found, _ = exchange(data, closes=True)
+    assert isinstance(found, Lost)
+
+
+def test_an_answer_without_a_length_ends_with_an_orderly_close(exchange):
+    data = b"HTTP/1.1 200 OK\r\nId: a1\r\n\r\nabc"
+    found, _ = exchange(data, closes=True)
+    assert found.answer.body == b"abc"
+
+
+def test_a_reset_does_not_end_an_answer_without_a_length(send, upstream, pump):
+    sent = send()
+    connection = accept(upstream, pump)
+    connection.sendall(b"HTTP/1.1 200 OK\r\nId: a1\r\n\r\nabc")
+    pump.for_s(0.05)
+    connection.setsockopt(1, 13, b"\x01\0\0\0\0\0\0\0")  # SO_LINGER: reset on close
+    connection.close()
+    assert isinstance(outcome(sent, pump), Lost)
+
+
+def test_a_late_extra_answer_goes_to_nobody(exchange, send, pump):
+    found, connection = exchange(whole(b"a1"))
+    second = send(b"a2")
+    pump.for_s(0.02)
+    connection.sendall(whole(b"a1", b"again") + whole(b"a2", b"two"))
+    assert outcome(second, pump).answer.body == b"two"
+    assert found.answer.body == b"abc"
+
+
+@pytest.mark.parametrize("extra", [whole(b"a1"), b"HTTP/1.1 2", b"garbage"])
+def test_bytes_behind_an_answer_end_the_connection(exchange, pool, extra):
+    found, _ = exchange(whole(b"a1") + extra)
+    assert found.answer.body == b"abc"
+    assert pool.all == {}
+
+
+def test_bytes_on_an_idle_connection_end_it(exchange, pool, pump):
+    _, connection = exchange(whole(b"a1"))
+    connection.sendall(whole(b"a1"))
+    pump.until(lambda: pool.all == {})
+
+
+def test_an_interim_answer_is_not_the_answer(exchange):
+    found, _ = exchange(b"HTTP/1.1 100 Continue\r\n\r\n" + whole(b"a1"))
+    assert found.answer.status == 200
+
+
+def test_an_answer_to_head_has_no_body(exchange):
+    data = b"HTTP/1.1 200 OK\r\nId: a1\r\nContent-Length: 99\r\n\r\n"
+    found, _ = exchange(data, is_head=True)
+    assert (found.answer.status, found.answer.body) == (200, b"")
+
+
+def test_a_refused_connection_means_not_sent(send, upstream, pump):
+    sent = send()
+    upstream.close()
+    assert isinstance(outcome(sent, pump), NotSent)
+
+
+def test_no_answer_in_time_is_lost_and_closes_the_connection(send, upstream, pump):
+    sent = send(seconds=0.1)
+    connection = accept(upstream, pump)
+    found = outcome(sent, pump)
+    assert isinstance(found, Lost)
+    assert found.is_timeout
+    pump.for_s(0.02)
+    assert connection.recv(1_000).startswith(b"GET /")
+    assert connection.recv(1_000) == b""
+
+
+def test_a_cancelled_request_closes_its_connection_and_reports_nothing(
+    send, upstream, pump
+):
+    sent = send()
+    connection = accept(upstream, pump)
+    pump.for_s(0.02)
+    sent.sending.cancel()
+    pump.for_s(0.02)
+    connection.recv(1_000)
+    assert connection.recv(1_000) == b""
+    assert sent.outcomes == []
+
+
+def test_a_connection_is_given_up_before_the_servers_idle_limit(exchange, pool):
+    exchange(whole(b"a1", extra=b"Keep-Alive: timeout=1\r\n"))
+    assert [c.idle_limit for c in pool.idle[next(iter(pool.idle))]] == [0.0]
+
+
+def test_an_answer_before_the_request_was_sent_whole_ends_the_connection(
+    loop, pool, upstream, pump
+):
+    outcomes = []
+    data = b"POST / HTTP/1.1\r\nContent-Length: 20000000\r\n\r\n" + b"x" * 20_000_000
+    sending = Sending(data, None, outcomes.append)
+    address = ":".join(map(str, upstream.getsockname()))
+    pool.send(address, sending, loop.clock() + 5.0)
+    connection = accept(upstream, pump)
+    pump.for_s(0.02)
+    connection.recv(1_000)
+    connection.sendall(b"HTTP/1.1 413 No\r\nContent-Length: 0\r\n\r\n")
+    pump.until(lambda: outcomes)
+    assert outcomes[0].answer.status == 413
+    assert pool.all == {}
--- /dev/null
+++ b/packages/cyclamentally-calls/cyclamentally_calls/tests/test_server_connection.py
@@ -0,0 +1,158 @@
+import pytest
+
+from cyclamentally_calls.http_codec import Answer
+
+
+def received(caller):
+    try:
+        return caller.recv(65_536)
+    except BlockingIOError:
+        return b""
+
+
+def get(path, extra=b""):
+    return b"GET " + path + b" HTTP/1.1\r\nHost: h\r\n" + extra + b"\r\n"
+
+
+def answer(body):
+    return Answer(200, [], body)
+
+
+def read_until(pump, caller, ending):
+    data = bytearray()
+
+    def has_ending():
+        data.extend(received(caller))
+        return ending in data
+
+    pump.until(has_ending)
+    return bytes(data)
+
+
+def test_pipelined_requests_run_at_once_and_are_answered_in_order(
+    caller, handler, pump
+):
+    caller.send(get(b"/1") + get(b"/2") + get(b"/3"))
+    pump.until(lambda: len(handler.exchanges) == 3)
+    handler.exchanges[2].answer(answer(b"three"))
+    handler.exchanges[1].answer(answer(b"two"))
+    pump.for_s(0.05)
+    assert received(caller) == b""
+    handler.exchanges[0].answer(answer(b"one"))
+    data = read_until(pump, caller, b"three")
+    assert data.index(b"one") < data.index(b"two") < data.index(b"three")
+
+
+def test_what_may_run_once_waits_for_the_answers_ahead(caller, handler, pump):
+    post = b"POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx"
+    caller.send(get(b"/1") + post + get(b"/3"))
+    pump.until(lambda: handler.exchanges)
+    pump.for_s(0.05)
+    assert handler.targets() == [b"/1"]
+    handler.exchanges[0].answer(answer(b"one"))
+    pump.for_s(0.05)
+    assert handler.targets() == [b"/1", b"/2"]
+
+
+def test_a_callers_end_is_noticed_at_once(caller, handler, pump):
+    caller.send(get(b"/1") + get(b"/2"))
+    pump.until(lambda: len(handler.exchanges) == 2)
+    caller.close()
+    pump.until(lambda: len(handler.gone) == 2)
+    assert handler.closed == 1
+
+
+def test_requests_behind_a_close_are_not_read(caller, handler, pump):
+    caller.send(get(b"/1", b"Connection: close\r\n") + get(b"/2"))
+    pump.until(lambda: handler.exchanges)
+    handler.exchanges[0].answer(answer(b"one"))
+    data = read_until(pump, caller, b"one")
+    assert b"Connection: close" in data
+    assert handler.targets() == [b"/1"]
+
+
+SMUGGLED = [
+    b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    b"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+    b"Content-Length : 3\r\n\r\nabc",
+    b"Transfer-Encoding: xchunked\r\n\r\nabc",
+    b"Content-Length: +3\r\n\r\nabc",
+    b"X: y\r\n Content-Length: 3\r\n\r\nabc",
+]
+
+
+@pytest.mark.parametrize("rest", SMUGGLED)
+def test_ambiguous_framing_is_refused_and_ends_the_connection(
+    caller, handler, pump, rest
+):
+    caller.send(b"POST /1 HTTP/1.1\r\nHost: h\r\n" + rest + get(b"/2"))
+    data = read_until(pump, caller, b"bad_request")
+    assert data.startswith(b"HTTP/1.1 400")
+    assert handler.exchanges == []
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (get(b"/1", b"X: " + b"a" * 2_000 + b"\r\n"), b"431"),
+        (b"POST /1 HTTP/1.1\r\nContent-Length: 5000\r\n\r\n", b"413"),
+        (
+            b"POST /1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n9c4\r\n"
+            + b"a" * 2_500,
+            b"413",
+        ),
+    ],
+    ids=["head", "sized body", "chunked body"],
+)
+def test_what_is_too_large_is_refused(caller, handler, pump, sent, status):
+    caller.send(sent)
+    assert b"HTTP/1.1 " + status in read_until(pump, caller, b"too_large")
+    assert handler.exchanges == []
+
+
+def test_a_slow_head_is_refused_as_not_run(caller, handler, pump):
+    caller.send(b"GET /1 HT")
+    assert b"HTTP/1.1 408" in read_until(pump, caller, b"request_timeout")
+
+
+def test_an_idle_connection_is_closed_after_its_limit(caller, handler, pump, limits):
+    pump.until(lambda: handler.closed == 1, limits.idle_s + 2.0)
+
+
+def test_a_drained_connection_answers_what_it_has_read(caller, handler, pump):
+    caller.send(get(b"/1"))
+    pump.until(lambda: handler.exchanges)
+    handler.exchanges[0].connection.drain()
+    caller.send(get(b"/2"))
+    pump.for_s(0.05)
+    handler.exchanges[0].answer(answer(b"one"))
+    assert b"Connection: close" in read_until(pump, caller, b"one")
+    assert handler.targets() == [b"/1"]
+
+
+def test_a_chunked_body_arrives_whole(caller, handler, pump):
+    caller.send(
+        b"POST /1?q=%2F HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"3\r\nabc\r\n2\r\nde\r\n0\r\nTrail: x\r\n\r\n"
+    )
+    pump.until(lambda: handler.exchanges)
+    request = handler.exchanges[0].request
+    assert (request.body, request.target) == (b"abcde", b"/1?q=%2F")
+    assert request.find(b"trail") == b""
+
+
+def test_a_large_answer_to_a_slow_caller_is_sent_whole(caller, handler, pump):
+    caller.send(get(b"/1", b"Connection: close\r\n"))
+    pump.until(lambda: handler.exchanges)
+    body = b"z" * 6_000_000
+    handler.exchanges[0].answer(answer(body))
+    pump.for_s(1.3)
+    data = read_until(pump, caller, b"\r\n\r\n")
+    length = len(data)
+
+    def is_whole():
+        nonlocal length
+        length += len(received(caller))
+        return length >= len(body)
+
+    pump.until(is_whole)
--- a/packages/cyclamentally/cyclamentally/chart.py
+++ b/packages/cyclamentally/cyclamentally/chart.py
@@ -17,6 +17,7 @@
 from importlib.resources import files
 from tomllib import TOMLDecodeError, loads
 
+CHARTS = "cyclamentally.charts"
 CHART_KEYS = {"initial", "final", "events", "states"}
 STATE_KEYS = {"on", "ignore"}
 BRANCH_KEYS = {"guard", "to", "actions"}
@@ -222,8 +223,8 @@
                 self._fail(f"states.{state}", "unreachable")
 
 
-def load_chart(name, owner):
-    """Compile a chart file of this package.
+def load_chart(name, owner, package=CHARTS):
+    """Compile a chart file.
 
     Parameters
     ----------
@@ -231,6 +232,8 @@
         File name without its ending.
     owner : type
         Class whose methods are the guards and actions.
+    package : str
+        Package that holds the file.
 
     Returns
     -------
@@ -242,7 +245,7 @@
     ChartError
         The file cannot be read or breaks a rule of the format.
     """
-    text = files("cyclamentally.charts").joinpath(f"{name}.toml").read_text()
+    text = files(package).joinpath(f"{name}.toml").read_text()
     try:
         document = loads(text)
     except TOMLDecodeError as error:
@@ -250,11 +253,11 @@
     return ChartLoader(name, document, owner).load()
 
 
-def runs_chart(name):
+def runs_chart(name, package=CHARTS):
     """Return a class decorator that compiles a chart into ``cls.chart``."""
 
     def attach(cls):
-        cls.chart = load_chart(name, cls)
+        cls.chart = load_chart(name, cls, package)
         return cls
 
     return attach
--- a/packages/cyclamentally/cyclamentally/tests/test_chart.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_chart.py
@@ -7,13 +7,17 @@
 from cyclamentally.announcements import Announcement
 from cyclamentally.chart import ChartError, ChartLoader
 from cyclamentally.endpoints import Endpoint
+from cyclamentally.forwarding import Forwarding
+from cyclamentally.gate import Gate
 from cyclamentally.idempotency import Claim
 from cyclamentally.lifecycle import NodeLife
 from cyclamentally.members import Member
 from cyclamentally.quarantine import SuspectRequest
+from cyclamentally.registration import Registration
 from cyclamentally.relays import Relay
 from cyclamentally.retries import RequestLife
 from cyclamentally.versions import ProfileSlot
+from cyclamentally.watching import Watch
 
 OWNERS = [
     SuspectRequest,
@@ -25,6 +29,10 @@
     Relay,
     RequestLife,
     ProfileSlot,
+    Gate,
+    Forwarding,
+    Registration,
+    Watch,
 ]
 
 
--- /dev/null
+++ b/packages/cyclamentally/cyclamentally/tests/test_gate.py
@@ -0,0 +1,153 @@
+from dataclasses import dataclass
+
+import pytest
+
+from cyclamentally.errors import Kind
+from cyclamentally.gate import (
+    FIRST_SERVICE_S,
+    Gate,
+    Heartbeat,
+    RefuseWork,
+    StartWork,
+    Ticket,
+)
+
+
+def heartbeat(upstream="u1", started=1_000, sequence=1, slots=2, is_leaving=False):
+    return Heartbeat(
+        upstream, "shop", "10.0.0.1:80", started, sequence, slots, 0.0, is_leaving
+    )
+
+
+def ticket(number, upstream="u1", service="shop", priority=1, expires=1.0):
+    return Ticket(number, upstream, service, "route", priority, expires)
+
+
+@pytest.fixture
+def gate():
+    gate = Gate()
+    gate.hear(heartbeat(), 0.0)
+    return gate
+
+
+@dataclass
+class Outcomes:
+    started: list
+    refused: dict
+
+
+def outcomes(effects):
+    started = [e.number for e in effects if isinstance(e, StartWork)]
+    refused = {e.number: e.refusal.kind for e in effects if isinstance(e, RefuseWork)}
+    return Outcomes(started, refused)
+
+
+def test_only_as_many_run_as_there_are_slots(gate):
+    found = [outcomes(gate.admit(ticket(n), 0.0)).started for n in range(4)]
+    assert found == [[0], [1], [], []]
+    assert outcomes(gate.finish(0, True, 0.1)).started == [2]
+
+
+def test_without_an_upstream_everything_is_refused_as_not_run():
+    assert outcomes(Gate().admit(ticket(1), 0.0)).refused == {1: Kind.UPSTREAM_LEFT}
+
+
+@pytest.mark.parametrize(
+    "wrong", [{"upstream": "u0"}, {"service": "bank"}], ids=["lifetime", "service"]
+)
+def test_a_stale_sender_is_refused(gate, wrong):
+    effects = gate.admit(ticket(1, **wrong), 0.0)
+    assert outcomes(effects).refused == {1: Kind.UPSTREAM_LEFT}
+
+
+def test_leaving_is_in_force_at_once_and_sends_the_queue_back(gate):
+    for number in range(3):
+        gate.admit(ticket(number), 0.0)
+    effects = gate.hear(heartbeat(sequence=2, is_leaving=True), 0.1)
+    assert outcomes(effects).refused == {2: Kind.UPSTREAM_LEFT}
+    refused = outcomes(gate.admit(ticket(4), 0.1)).refused
+    assert refused == {4: Kind.UPSTREAM_LEFT}
+
+
+@pytest.mark.parametrize(
+    "late",
+    [
+        heartbeat(sequence=9),
+        heartbeat(upstream="u0", started=900, sequence=50),
+        heartbeat(started=900, sequence=50),
+    ],
+    ids=["same lifetime", "earlier lifetime", "same name, earlier start"],
+)
+def test_a_late_heartbeat_does_not_open_a_gate_that_was_left(gate, late):
+    gate.hear(heartbeat(sequence=2, is_leaving=True), 0.1)
+    gate.hear(late, 0.2)
+    assert gate.state == "left"
+
+
+def test_a_start_under_the_same_name_opens_the_gate_with_counts_from_one(gate):
+    gate.hear(heartbeat(sequence=7, is_leaving=True), 0.1)
+    gate.hear(heartbeat(started=2_000, sequence=1), 0.2)
+    assert gate.state == "open"
+    assert outcomes(gate.admit(ticket(1), 0.3)).started == [1]
+
+
+def test_an_end_before_any_heartbeat_is_kept(gate):
+    fresh = Gate()
+    fresh.end("u1", said_ms=1_500, now=0.0)
+    fresh.hear(heartbeat(started=1_000), 0.1)
+    assert fresh.state == "left"
+    fresh.hear(heartbeat(started=2_000), 0.2)
+    assert fresh.state == "open"
+
+
+def test_an_end_of_another_upstream_changes_nothing(gate):
+    gate.end("u0", said_ms=5_000, now=0.1)
+    assert gate.state == "open"
+
+
+@pytest.mark.parametrize("event", ["silent", "unreachable"])
+def test_a_gate_that_lost_its_upstream_opens_with_the_next_heartbeat(gate, event):
+    gate.lose(event)
+    refused = outcomes(gate.admit(ticket(1), 0.1)).refused
+    assert refused == {1: Kind.UPSTREAM_UNREACHABLE}
+    gate.hear(heartbeat(sequence=2), 0.2)
+    assert outcomes(gate.admit(ticket(2), 0.3)).started == [2]
+
+
+def test_the_urgent_request_starts_first(gate):
+    gate.admit(ticket(0), 0.0)
+    gate.admit(ticket(1), 0.0)
+    gate.admit(ticket(2, priority=2), 0.0)
+    gate.admit(ticket(3, priority=0), 0.0)
+    assert outcomes(gate.finish(0, True, 0.05)).started == [3]
+
+
+def test_what_cannot_be_answered_in_time_is_refused_at_once_with_a_wait(gate):
+    for number in range(2):
+        gate.admit(ticket(number), 0.0)
+    late = ticket(5, expires=FIRST_SERVICE_S / 2)
+    effects = gate.admit(late, 0.0)
+    assert outcomes(effects).refused == {5: Kind.QUEUE_FULL}
+    assert effects[0].refusal.wait > 0
+
+
+def test_a_request_that_waited_too_long_is_refused_and_not_started(gate):
+    for number in range(2):
+        gate.admit(ticket(number), 0.0)
+    gate.admit(ticket(2, expires=0.2), 0.0)
+    found = outcomes(gate.tick(0.19))
+    assert found.refused == {2: Kind.QUEUE_TIMEOUT}
+
+
+def test_a_cancelled_request_is_not_started(gate):
+    for number in range(3):
+        gate.admit(ticket(number), 0.0)
+    gate.cancel(2)
+    assert outcomes(gate.finish(0, True, 0.1)).started == []
+
+
+def test_service_times_are_learnt_by_route(gate):
+    gate.admit(ticket(1), 0.0)
+    gate.finish(1, True, 0.4)
+    assert gate.usual_time("route") == pytest.approx(0.4)
+    assert gate.usual_time("other") == FIRST_SERVICE_S
--- /dev/null
+++ b/packages/cyclamentally/cyclamentally/tests/test_hosts.py
@@ -0,0 +1,113 @@
+from random import Random
+
+import pytest
+
+from cyclamentally.hosts import UNLISTED_S, HostDirectory, HostEntry, UpstreamEntry
+from cyclamentally.placing import EarliestPlacement, Places
+from cyclamentally.routes import (
+    CallerLimits,
+    Destination,
+    RequestKind,
+    RouteRule,
+    RouteTable,
+    WeightedTurns,
+)
+
+SINGLE = (Destination("shop", 1),)
+
+
+def entry(name, domain="d1", region="r1", is_leaving=False, upstream="u"):
+    announced = UpstreamEntry(f"{upstream}-{name}", "shop", 1, 2, 0.0, is_leaving)
+    return HostEntry(name, domain, region, "10.0.0.1:1", announced)
+
+
+def rule(parts=SINGLE, kind=RequestKind.IDEMPOTENT):
+    return RouteRule("r", "h", "/a/", parts, kind, 1.0, 0.3, 2, 1)
+
+
+@pytest.fixture
+def directory():
+    directory = HostDirectory()
+    directory.replace([(entry("a"), 1), (entry("b"), 2)], 0.0)
+    return directory
+
+
+def names(directory):
+    return sorted(e.name for e in directory.of_service("shop"))
+
+
+def test_an_entry_that_vanished_is_used_until_the_store_has_been_well(directory):
+    directory.remove("a", 3, 1.0)
+    directory.tick(10.0, None)
+    assert names(directory) == ["a", "b"]
+    directory.tick(10.0 + UNLISTED_S, 10.0)
+    assert names(directory) == ["b"]
+
+
+def test_an_entry_that_comes_back_stays(directory):
+    directory.remove("a", 3, 1.0)
+    directory.put(entry("a"), 4)
+    directory.tick(100.0, 0.0)
+    assert names(directory) == ["a", "b"]
+
+
+def test_an_unlisted_host_that_does_not_answer_is_forgotten(directory):
+    directory.remove("a", 3, 1.0)
+    directory.fail("a")
+    directory.fail("b")
+    assert names(directory) == ["b"]
+
+
+def test_a_leaving_upstream_is_dropped_at_once(directory):
+    directory.put(entry("a", is_leaving=True), 3)
+    assert names(directory) == ["b"]
+
+
+def test_an_older_revision_changes_nothing(directory):
+    directory.put(entry("a", is_leaving=True), 5)
+    directory.put(entry("a"), 4)
+    directory.remove("b", 1, 0.0)
+    directory.tick(100.0, 0.0)
+    assert names(directory) == ["b"]
+
+
+def test_the_nearest_upstream_is_chosen_while_it_has_room():
+    places = Places("d1", "r1", EarliestPlacement(Random(1)))
+    entries = [entry("near"), entry("far", "d9", "r9"), entry("mid", "d2")]
+    places.update(entries)
+    chosen = places.choose(entries, rule(), set(), 0.0)
+    assert chosen.entry.name == "near"
+    chosen.in_flight = 40
+    assert places.choose(entries, rule(), set(), 0.0).entry.name == "mid"
+
+
+def test_a_paused_upstream_is_used_if_there_is_no_other():
+    places = Places("d1", "r1", EarliestPlacement(Random(1)))
+    entries = [entry("near"), entry("mid", "d2")]
+    places.update(entries)
+    places.views["near"].fail(0.0)
+    assert places.choose(entries, rule(), set(), 0.1).entry.name == "mid"
+    assert places.choose(entries[:1], rule(), set(), 0.1).entry.name == "near"
+
+
+def test_a_tried_upstream_is_not_chosen_again():
+    places = Places("d1", "r1", EarliestPlacement(Random(1)))
+    entries = [entry("near")]
+    places.update(entries)
+    assert places.choose(entries, rule(), {"u-near"}, 0.0) is None
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_requests_are_dealt_by_weight(seed):
+    turns = WeightedTurns(Random(seed))
+    parts = (Destination("shop", 90), Destination("bank", 10))
+    dealt = [turns.choose(rule(parts)) for _ in range(200)]
+    assert dealt.count("bank") in (19, 20, 21)
+
+
+def test_the_longest_prefix_wins():
+    rules = {"h": {p: p for p in ("/", "/a/", "/a/b/")}}
+    table = RouteTable(1, rules, {}, CallerLimits(1, 1, 1, 1))
+    found = [table.find("h", p) for p in ("/a/b/c", "/a/b", "/a/x/", "/z", "*")]
+    assert found == ["/a/b/", "/a/", "/a/", "/", None]
+    assert table.find("other", "/a/") is None
