Split the gate, store and origin modules by role

Change: messages of the gate, origins of offers and sinks of watches have modules of their own; entries are coded as checked lists.

--- a/packages/cyclamentally-calls/cyclamentally_calls/entry_codec.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/entry_codec.py
@@ -1,56 +1,32 @@
 """Encoding of host entries in the platform's store."""
 
-from msgspec import DecodeError, Struct, ValidationError
-from msgspec.json import Decoder, encode
+from msgspec import DecodeError
+from msgspec.json import decode, encode
 
 from cyclamentally.hosts import HostEntry, UpstreamEntry
 
-
-class StoredUpstream(Struct):
-    """An upstream as it is stored."""
-
-    name: str
-    service: str
-    started_ms: int
-    slots: int
-    cold_s: float
-    is_leaving: bool
-
-
-class StoredHost(Struct):
-    """A host as it is stored."""
-
-    name: str
-    domain: str
-    region: str
-    address: str
-    upstream: StoredUpstream
-
-
-DECODER = Decoder(StoredHost)
+HOST_FIELDS = (str, str, str, str, list)
+UPSTREAM_FIELDS = (str, str, int, int, (int, float), bool)
 
 
 def encode_entry(entry):
-    """Return the bytes of a `HostEntry`."""
-    u = entry.upstream
-    upstream = StoredUpstream(
-        u.name, u.service, u.started_ms, u.slots, u.cold_s, u.is_leaving
-    )
-    return encode(
-        StoredHost(entry.name, entry.domain, entry.region, entry.address, upstream)
-    )
+    """Return the bytes of a `HostEntry`: its fields in order, as JSON."""
+    host = entry.values()
+    return encode([*host[:-1], entry.upstream.values()])
 
 
 def decode_entry(value):
     """Return the `HostEntry` of stored bytes, or None if they are none."""
     try:
-        stored = DECODER.decode(value)
-    except (DecodeError, ValidationError):
+        host = decode(value)
+    except (DecodeError, UnicodeDecodeError):
+        return None
+    if not _has_types(host, HOST_FIELDS) or not _has_types(host[-1], UPSTREAM_FIELDS):
         return None
-    u = stored.upstream
-    upstream = UpstreamEntry(
-        u.name, u.service, u.started_ms, u.slots, u.cold_s, u.is_leaving
-    )
-    return HostEntry(
-        stored.name, stored.domain, stored.region, stored.address, upstream
-    )
+    return HostEntry(*host[:-1], UpstreamEntry(*host[-1]))
+
+
+def _has_types(values, types):
+    if not isinstance(values, list) or len(values) != len(types):
+        return False
+    return all(isinstance(v, t) for v, t in zip(values, types, strict=True))
--- a/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
@@ -1,16 +1,13 @@
 """The task that owns the connections to the upstream beside this node."""
 
-from abc import ABC, abstractmethod
-
 from cyclamentally.effects import Count, StateChanged
 from cyclamentally.errors import Done, Kind, Refused
-from cyclamentally.gate import RefuseWork, StartWork, Ticket, UpstreamEnded
+from cyclamentally.gate_messages import RefuseWork, StartWork, Ticket, UpstreamEnded
 from cyclamentally.hosts import UpstreamEntry
 from cyclamentally_calls.call_events import (
     DrainBegun,
     Heard,
     Offer,
-    OfferDone,
     OfferWithdrawn,
     RoutesReplaced,
     UpstreamChanged,
@@ -18,13 +15,12 @@
 from cyclamentally_calls.client_connection import ConnectionPool, Sending
 from cyclamentally_calls.http_codec import Answer, encode_request, forwarded
 from cyclamentally_calls.loop import Task
+from cyclamentally_calls.origins import LocalOrigin, PeerOrigin
 from cyclamentally_calls.outcomes import Answered, Lost
 from cyclamentally_calls.peer_codec import (
     PEER_HEADERS,
-    REFUSED_STATUS,
     TICKET_HEADER,
     decode_ticket,
-    encode_load,
     encode_refusal,
 )
 from cyclamentally_calls.server_connection import (
@@ -51,54 +47,6 @@
 MISDIRECTED = 421
 
 
-class Origin(ABC):
-    """Where the outcome of a work goes."""
-
-    __slots__ = ()
-
-    @abstractmethod
-    def resolve(self, outcome, load):
-        """Report ``Done`` or ``Refused`` with the `Load` afterwards."""
-
-
-class LocalOrigin(Origin):
-    """A sender on this node."""
-
-    __slots__ = ("loop", "number", "sender")
-
-    def __init__(self, loop, sender, number):
-        self.loop = loop
-        self.sender = sender
-        self.number = number
-
-    def resolve(self, outcome, load):
-        """Send `OfferDone`."""
-        self.loop.post(self.sender, OfferDone(self.number, outcome, load))
-
-
-class PeerOrigin(Origin):
-    """A sender on another node."""
-
-    __slots__ = ("exchange", "id_name")
-
-    def __init__(self, exchange, id_name):
-        self.exchange = exchange
-        self.id_name = id_name
-
-    def resolve(self, outcome, load):
-        """Answer the other node's request."""
-        if isinstance(outcome, Done):
-            answer = outcome.value
-            headers = [*answer.headers, encode_load(load)]
-            self.exchange.answer(Answer(answer.status, headers, answer.body))
-            return
-        headers = [encode_refusal(outcome), encode_load(load)]
-        echo = self.exchange.request.find(self.id_name.lower)
-        if echo:
-            headers.append((self.id_name.text, echo))
-        self.exchange.answer(Answer(REFUSED_STATUS, headers, b""))
-
-
 class Work:
     """A request at the gate.
 
--- /dev/null
+++ b/packages/cyclamentally-calls/cyclamentally_calls/origins.py
@@ -0,0 +1,60 @@
+"""Where the outcome of a request at a gate goes."""
+
+from abc import ABC, abstractmethod
+
+from cyclamentally.errors import Done
+from cyclamentally_calls.call_events import OfferDone
+from cyclamentally_calls.http_codec import Answer
+from cyclamentally_calls.peer_codec import (
+    REFUSED_STATUS,
+    encode_load,
+    encode_refusal,
+)
+
+
+class Origin(ABC):
+    """Where the outcome of a work goes."""
+
+    __slots__ = ()
+
+    @abstractmethod
+    def resolve(self, outcome, load):
+        """Report ``Done`` or ``Refused`` with the `Load` afterwards."""
+
+
+class LocalOrigin(Origin):
+    """A sender on this node."""
+
+    __slots__ = ("loop", "number", "sender")
+
+    def __init__(self, loop, sender, number):
+        self.loop = loop
+        self.sender = sender
+        self.number = number
+
+    def resolve(self, outcome, load):
+        """Send `OfferDone`."""
+        self.loop.post(self.sender, OfferDone(self.number, outcome, load))
+
+
+class PeerOrigin(Origin):
+    """A sender on another node."""
+
+    __slots__ = ("exchange", "id_name")
+
+    def __init__(self, exchange, id_name):
+        self.exchange = exchange
+        self.id_name = id_name
+
+    def resolve(self, outcome, load):
+        """Answer the other node's request."""
+        if isinstance(outcome, Done):
+            answer = outcome.value
+            headers = [*answer.headers, encode_load(load)]
+            self.exchange.answer(Answer(answer.status, headers, answer.body))
+            return
+        headers = [encode_refusal(outcome), encode_load(load)]
+        echo = self.exchange.request.find(self.id_name.lower)
+        if echo:
+            headers.append((self.id_name.text, echo))
+        self.exchange.answer(Answer(REFUSED_STATUS, headers, b""))
--- a/packages/cyclamentally-calls/cyclamentally_calls/peer_codec.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/peer_codec.py
@@ -4,7 +4,7 @@
 from msgspec.json import decode, encode
 
 from cyclamentally.errors import Kind, Refused
-from cyclamentally.gate import Load
+from cyclamentally.gate_messages import Load
 
 TICKET_HEADER = b"Cyclamentally-Ticket"
 REFUSED_HEADER = b"Cyclamentally-Refused"
--- a/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
@@ -23,7 +23,7 @@
     StoreFailed,
     Written,
 )
-from cyclamentally.watching import AwaitChanges, ReadPage, Watch, WatchSink
+from cyclamentally.watching import AwaitChanges, ReadPage, Watch
 from cyclamentally_calls.call_events import (
     DrainBegun,
     HostFailed,
@@ -36,6 +36,7 @@
 from cyclamentally_calls.http_codec import encode_request
 from cyclamentally_calls.loop import Task
 from cyclamentally_calls.outcomes import Answered
+from cyclamentally_calls.store_sinks import HostSink, RouteSink
 
 HOSTS_PREFIX = "cyclamentally/hosts/"
 CALL_S = 1.0
@@ -60,55 +61,6 @@
 }
 
 
-class RouteSink(WatchSink):
-    """Takes over configurations.
-
-    Parameters
-    ----------
-    task : StoreTask
-        Owner.
-    """
-
-    __slots__ = ("task",)
-
-    def __init__(self, task):
-        self.task = task
-
-    def on_listing(self, items):
-        """Take over the stored configuration, if there is one."""
-        for item in items:
-            self.task.take_configuration(item)
-
-    def on_changes(self, changes):
-        """Take over the newest configuration."""
-        for change in changes:
-            if isinstance(change, StoredItem):
-                self.task.take_configuration(change)
-
-
-class HostSink(WatchSink):
-    """Takes over the entries of hosts.
-
-    Parameters
-    ----------
-    task : StoreTask
-        Owner.
-    """
-
-    __slots__ = ("task",)
-
-    def __init__(self, task):
-        self.task = task
-
-    def on_listing(self, items):
-        """Take over all entries."""
-        self.task.take_hosts(items)
-
-    def on_changes(self, changes):
-        """Take over changed and removed entries."""
-        self.task.change_hosts(changes)
-
-
 class Place:
     """Who and where a node is.
 
--- a/packages/cyclamentally/cyclamentally/gate.py
+++ b/packages/cyclamentally/cyclamentally/gate.py
@@ -7,7 +7,13 @@
 from cyclamentally.chart import runs_chart
 from cyclamentally.effects import Count, StateChanged
 from cyclamentally.errors import Kind, Refused
-from cyclamentally.records import Record
+from cyclamentally.gate_messages import (
+    Heartbeat,
+    Load,
+    RefuseWork,
+    Running,
+    StartWork,
+)
 
 # Time of a request on a route of which nothing is known yet, in seconds.
 FIRST_SERVICE_S = 0.05
@@ -19,163 +25,6 @@
 LEAST_WAIT_S = 0.02
 
 
-class Heartbeat(Record):
-    """What an upstream says of itself.
-
-    Parameters
-    ----------
-    upstream : str
-        Identifier.
-    service : str
-        Service that it belongs to.
-    address : str
-        ``IP:port`` where it takes requests.
-    started_ms : int
-        Start of its lifetime, Unix milliseconds; 0 if it does not say.
-    sequence : int
-        Count of its heartbeats in this lifetime.
-    slots : int
-        Requests that it runs at once.
-    cold_s : float
-        Time for which it will still be slow, in seconds.
-    is_leaving : bool
-        Whether it is about to end.
-    """
-
-    __slots__ = (
-        "upstream",
-        "service",
-        "address",
-        "started_ms",
-        "sequence",
-        "slots",
-        "cold_s",
-        "is_leaving",
-    )
-
-    def __init__(
-        self,
-        upstream,
-        service,
-        address,
-        started_ms,
-        sequence,
-        slots,
-        cold_s,
-        is_leaving,
-    ):
-        self.upstream = upstream
-        self.service = service
-        self.address = address
-        self.started_ms = started_ms
-        self.sequence = sequence
-        self.slots = slots
-        self.cold_s = cold_s
-        self.is_leaving = is_leaving
-
-
-class UpstreamEnded(Record):
-    """An upstream says that it is gone or about to be.
-
-    Parameters
-    ----------
-    upstream : str
-        Its identifier.
-    said_ms : int
-        When it said so, Unix milliseconds on this host; a lifetime of the
-        same name that has started later is another one.
-    """
-
-    __slots__ = ("upstream", "said_ms")
-
-    def __init__(self, upstream, said_ms):
-        self.upstream = upstream
-        self.said_ms = said_ms
-
-
-class Ticket(Record):
-    """What the gate has to know of a request.
-
-    Parameters
-    ----------
-    number : int
-        Identifies the request at this gate.
-    upstream, service : str
-        Whom the sender means.
-    route : str
-        Route, for the usual time of its requests.
-    priority : int
-        Rank; 0 is the most urgent.
-    expires : float
-        Time in seconds after which the answer is of no use.
-    """
-
-    __slots__ = ("number", "upstream", "service", "route", "priority", "expires")
-
-    def __init__(self, number, upstream, service, route, priority, expires):
-        self.number = number
-        self.upstream = upstream
-        self.service = service
-        self.route = route
-        self.priority = priority
-        self.expires = expires
-
-    @property
-    def order(self):
-        """Key by which waiting requests are started."""
-        return (self.priority, self.expires)
-
-
-class StartWork(Record):
-    """Effect: hand a request to the upstream."""
-
-    __slots__ = ("number", "heartbeat")
-
-    def __init__(self, number, heartbeat):
-        self.number = number
-        self.heartbeat = heartbeat
-
-
-class RefuseWork(Record):
-    """Effect: a request is not handed over; it has not run."""
-
-    __slots__ = ("number", "refusal")
-
-    def __init__(self, number, refusal):
-        self.number = number
-        self.refusal = refusal
-
-
-class Load(Record):
-    """Load of an upstream as its gate sees it.
-
-    Parameters
-    ----------
-    busy, waiting, slots : int
-        Requests that run, requests that wait, and the limit of the former.
-    service_s : float
-        Usual time of a request on the route in question, in seconds.
-    """
-
-    __slots__ = ("busy", "waiting", "slots", "service_s")
-
-    def __init__(self, busy, waiting, slots, service_s):
-        self.busy = busy
-        self.waiting = waiting
-        self.slots = slots
-        self.service_s = service_s
-
-
-class Running(Record):
-    """A request that the upstream has, and since when in seconds."""
-
-    __slots__ = ("ticket", "since")
-
-    def __init__(self, ticket, since):
-        self.ticket = ticket
-        self.since = since
-
-
 @runs_chart("gate")
 class Gate:
     """Decide which requests the upstream gets and when; runs ``gate``."""
--- a/packages/cyclamentally/cyclamentally/tests/test_gate.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_gate.py
@@ -3,14 +3,8 @@
 import pytest
 
 from cyclamentally.errors import Kind
-from cyclamentally.gate import (
-    FIRST_SERVICE_S,
-    Gate,
-    Heartbeat,
-    RefuseWork,
-    StartWork,
-    Ticket,
-)
+from cyclamentally.gate import FIRST_SERVICE_S, Gate
+from cyclamentally.gate_messages import Heartbeat, RefuseWork, StartWork, Ticket
 
 
 def heartbeat(upstream="u1", started=1_000, sequence=1, slots=2, is_leaving=False):
