--- a/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
@@ -162,13 +162,20 @@
         )
         self.store.listeners = [self.outbound, self.gate, self.control]
 
-    def start(self):
-        """Open all sockets; signals then end the node or renew its settings."""
+    def start(self, catches_signals=True):
+        """Open all sockets.
+
+        Parameters
+        ----------
+        catches_signals : bool
+            Whether signals end the node or renew its settings; possible in
+            the main thread only.
+        """
         self.log.start()
         self.log.write("node_started", service=self.settings.service)
         for task in (self.store, self.gate, self.outbound, self.control):
             task.start()
-        self._catch_signals()
+        self._open_signals(catches_signals)
         self.loop.call_after(SETTINGS_CHECK_S, self._check_settings)
 
     def run(self):
@@ -213,14 +220,15 @@
         outbound.store = self.store
         return outbound
 
-    def _catch_signals(self):
+    def _open_signals(self, catches_signals):
         receiving, sending = socketpair()
         for end in (receiving, sending):
             end.setblocking(False)
         self.signals = (receiving, sending)
-        set_wakeup_fd(sending.fileno(), warn_on_full_buffer=False)
-        for number in (SIGTERM, SIGINT, SIGHUP):
-            signal(number, _ignore)
+        if catches_signals:
+            set_wakeup_fd(sending.fileno(), warn_on_full_buffer=False)
+            for number in (SIGTERM, SIGINT, SIGHUP):
+                signal(number, _ignore)
         self.loop.watch(receiving.fileno(), EPOLLIN, self._on_signal)
 
     def _on_signal(self, events):
