--- a/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
@@ -151,8 +151,10 @@
         self.directory = HostDirectory()
         self.table = None
         self.watches = {
-            "routes": Watch(config_prefix, RouteSink(self), random),
-            "hosts": Watch(HOSTS_PREFIX, HostSink(self), random),
+            "routes": Watch(
+                config_prefix, RouteSink(self), random, loop.clock, polls_series=True
+            ),
+            "hosts": Watch(HOSTS_PREFIX, HostSink(self), random, loop.clock),
         }
         # The one call of each watch that is out, by the watch's prefix.
         self.watching = {}
--- /dev/null
+++ b/packages/cyclamentally/cyclamentally/tests/test_watching.py
@@ -0,0 +1,148 @@
+from random import Random
+
+import pytest
+
+from cyclamentally.registration import AskLease, KeepLease, Registration, WriteEntry
+from cyclamentally.store_outcomes import (
+    Changes,
+    HistoryLost,
+    LeaseGranted,
+    Page,
+    RemovedKey,
+    StoredItem,
+    StoreFailed,
+)
+from cyclamentally.watching import AwaitChanges, ReadPage, Watch, WatchSink
+
+
+class Sink(WatchSink):
+    def __init__(self):
+        self.listings = []
+        self.changes = []
+
+    def on_listing(self, items):
+        self.listings.append([item.key for item in items])
+
+    def on_changes(self, changes):
+        self.changes += changes
+
+
+class Clock:
+    def __init__(self):
+        self.now = 0.0
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def sink():
+    return Sink()
+
+
+@pytest.fixture
+def watch(sink, clock):
+    watch = Watch("p/", sink, Random(1), clock, polls_series=True)
+    watch.begin_listing()
+    watch.fire("last_page", Page([item("p/a", 3)], False, 9))
+    return watch
+
+
+def item(key, revision):
+    return StoredItem(key, b"x", revision)
+
+
+FAILED = StoreFailed("status 503", may_have_run=False)
+
+
+def test_pages_are_read_to_the_end_and_watched_from_the_first(sink, clock):
+    watch = Watch("p/", sink, Random(1), clock)
+    assert watch.begin_listing() == [ReadPage("p/", "")]
+    effects = watch.fire("page", Page([item("p/a", 3)], True, 9))
+    assert effects == [ReadPage("p/", "p/a")]
+    effects = watch.fire("last_page", Page([item("p/b", 4)], False, 12))
+    assert effects[0].revision == 9
+    assert sink.listings == [["p/a", "p/b"]]
+
+
+def test_changes_move_the_watch_on(watch, sink):
+    watch.fire("changes", Changes([item("p/a", 10), RemovedKey("p/b", 11)], 11))
+    effects = watch.fire("retry")
+    assert isinstance(effects[0], AwaitChanges)
+    assert effects[0].revision == 11
+    assert len(sink.changes) == 2
+
+
+def test_a_series_of_changes_is_read_at_its_newest(watch, clock):
+    for step in range(2):
+        clock.now += 0.8
+        watch.fire("changes", Changes([item("p/a", 10 + step)], 10 + step))
+        effects = watch.fire("retry")
+    assert effects == [ReadPage("p/", "")]
+    watch.fire("last_page", Page([item("p/a", 19)], False, 19))
+    assert watch.fire("retry") == [ReadPage("p/", "")]
+    effects = watch.fire("last_page", Page([item("p/a", 19)], False, 19))
+    assert isinstance(effects[0], AwaitChanges)
+    assert effects[0].revision == 19
+
+
+def test_a_single_change_costs_one_call(watch, clock):
+    for step in range(3):
+        clock.now += 10.0
+        watch.fire("changes", Changes([item("p/a", 10 + step)], 10 + step))
+        assert isinstance(watch.fire("retry")[0], AwaitChanges)
+
+
+def test_lost_history_is_read_anew(watch):
+    assert watch.fire("history_lost", HistoryLost()) == [ReadPage("p/", "")]
+
+
+@pytest.mark.parametrize("state", ["watching", "gathering"])
+def test_the_stores_return_is_used_at_once(watch, state):
+    if state == "gathering":
+        watch.fire("changes", Changes([item("p/a", 10)], 10))
+    else:
+        watch.fire("failed", FAILED)
+    assert isinstance(watch.fire("store_returned")[0], AwaitChanges)
+
+
+@pytest.fixture
+def registration():
+    return Registration(Random(1))
+
+
+def test_an_entry_is_listed_under_a_lease(registration):
+    assert isinstance(registration.fire("wanted", "entry 1")[0], AskLease)
+    effects = registration.fire("lease_granted", LeaseGranted(7, 8.0))
+    assert effects == [WriteEntry("entry 1", 7)]
+    registration.fire("written")
+    assert registration.state == "listed"
+    assert registration.fire("renew") == [KeepLease(7)]
+
+
+def test_a_change_while_the_entry_is_written_is_written_next(registration):
+    registration.fire("wanted", "entry 1")
+    registration.fire("lease_granted", LeaseGranted(7, 8.0))
+    registration.fire("wanted", "entry 2")
+    assert registration.fire("written") == [WriteEntry("entry 2", 7)]
+
+
+@pytest.mark.parametrize("event", ["lease_ended", "vanished"])
+def test_an_entry_that_was_lost_gets_a_new_lease(registration, event):
+    registration.fire("wanted", "entry 1")
+    registration.fire("lease_granted", LeaseGranted(7, 8.0))
+    registration.fire("written")
+    assert isinstance(registration.fire(event)[0], AskLease)
+
+
+def test_a_failure_is_followed_by_another_try_within_a_second(registration):
+    registration.fire("wanted", "entry 1")
+    for _ in range(20):
+        wake = registration.fire("failed", FAILED)[0]
+        assert wake.delay_s <= 1.0
+        assert isinstance(registration.fire("retry")[0], AskLease)
--- a/packages/cyclamentally/cyclamentally/watching.py
+++ b/packages/cyclamentally/cyclamentally/watching.py
@@ -9,8 +9,11 @@
 
 # Longest wait of one call; the store allows 30 s.
 WATCH_S = 25.0
-# Changes that follow one another within this time cost one call, in seconds.
-GATHER_S = 0.15
+# Changes that follow one another within this time cost one call, in seconds;
+# well under the two seconds within which a change has to be in force.
+GATHER_S = 0.7
+# A change this soon after the one before makes a series, in seconds.
+SERIES_S = 2.0
 FIRST_RETRY_S = 0.1
 LONGEST_RETRY_S = 0.8
 
@@ -62,11 +65,34 @@
         Receiver of the items.
     random : random.Random
         Spreads the retries of many nodes.
+    clock : callable
+        Returns the time in seconds.
+    polls_series : bool
+        Whether a series of changes is followed by reading the newest items;
+        cheaper where items are large and replace one another.
     """
 
-    __slots__ = ("backoff", "items", "prefix", "revision", "sink", "start", "state")
-
-    def __init__(self, prefix, sink, random):
+    __slots__ = (
+        "backoff",
+        "changed_at",
+        "clock",
+        "items",
+        "polls_series",
+        "prefix",
+        "revision",
+        "seen",
+        "series",
+        "sink",
+        "start",
+        "state",
+    )
+
+    def __init__(self, prefix, sink, random, clock, polls_series=False):
+        self.clock = clock
+        self.polls_series = polls_series
+        self.changed_at = None
+        self.series = False
+        self.seen = 0
         self.prefix = prefix
         self.sink = sink
         self.state = self.chart.initial
@@ -103,6 +129,7 @@
         """Give the whole listing to the sink."""
         self.revision = self.start
         items, self.items = self.items, []
+        self._see(items)
         self.sink.on_listing(items)
 
     def watch(self, message):
@@ -118,8 +145,21 @@
         self.backoff.reset()
         self.revision = max(self.revision, changes.revision)
         if changes.changes:
+            now = self.clock()
+            last, self.changed_at = self.changed_at, now
+            self.series = last is not None and now - last < SERIES_S
+            self._see(changes.changes)
             self.sink.on_changes(changes.changes)
 
+    def is_in_series(self, message):
+        """Whether the newest items are read instead of each change."""
+        return self.polls_series and self.series
+
+    def has_news(self, page):
+        """Whether a page names a change that was not known."""
+        found = [*self.items, *page.items]
+        return max((item.revision for item in found), default=0) > self.seen
+
     def gather(self, message):
         """Wait a little before the next call."""
         return [Wake("retry", GATHER_S)]
@@ -127,3 +167,6 @@
     def pause(self, message):
         """Try again soon, at a random moment."""
         return [Wake("retry", FIRST_RETRY_S + self.backoff.next_delay())]
+
+    def _see(self, items):
+        self.seen = max([self.seen, *(item.revision for item in items)])
