Start sooner: ask the upstream who it is, and other nodes for what they know

Change: one liveness check at the start opens the gate; tickets name the sender and its version, and a node without the store asks a sender that knows more. A gate without a configuration refuses, as nothing has run.

--- a/packages/cyclamentally-calls/cyclamentally_calls/call_events.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/call_events.py
@@ -120,16 +120,53 @@
         self.number = number
 
 
-class DrainBegun(Record):
-    """The node is to end: finish what has begun, take nothing new later."""
+class NewerKnown(Record):
+    """Another node has a newer configuration.
 
-    __slots__ = ()
+    Parameters
+    ----------
+    address : str
+        ``IP:port`` of the other node.
+    version : int
+        Version of its configuration.
+    """
+
+    __slots__ = ("address", "version")
+
+    def __init__(self, address, version):
+        self.address = address
+        self.version = version
+
+
+class StateAsked(Record):
+    """Another node asks for configuration and hosts.
+
+    Parameters
+    ----------
+    sender : Task
+        Receiver of `StateFound`.
+    exchange : Exchange
+        Given back with the state.
+    """
+
+    __slots__ = ("sender", "exchange")
+
+    def __init__(self, sender, exchange):
+        self.sender = sender
+        self.exchange = exchange
 
 
-class Drained(Record):
-    """A task has nothing left to finish."""
+class StateFound(Record):
+    """The answer to `StateAsked`; the body is empty without a configuration."""
 
-    __slots__ = ("task",)
+    __slots__ = ("exchange", "body")
 
-    def __init__(self, task):
-        self.task = task
+    def __init__(self, exchange, body):
+        self.exchange = exchange
+        self.body = body
+
+
+class DrainBegun(Record):
+    """The node is to end: finish what has begun, take nothing new later."""
+
+    __slots__ = ()
--- a/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
@@ -2,14 +2,23 @@
 
 from cyclamentally.effects import Count, StateChanged
 from cyclamentally.errors import Done, Kind, Refused
-from cyclamentally.gate_messages import RefuseWork, StartWork, Ticket, UpstreamEnded
+from cyclamentally.gate_messages import (
+    Heartbeat,
+    RefuseWork,
+    StartWork,
+    Ticket,
+    UpstreamEnded,
+)
 from cyclamentally.hosts import UpstreamEntry
 from cyclamentally_calls.call_events import (
     DrainBegun,
     Heard,
+    NewerKnown,
     Offer,
     OfferWithdrawn,
     RoutesReplaced,
+    StateAsked,
+    StateFound,
     UpstreamChanged,
 )
 from cyclamentally_calls.client_connection import ConnectionPool, Sending
@@ -23,6 +32,7 @@
     decode_ticket,
     encode_refusal,
 )
+from cyclamentally_calls.peer_state import STATE_TARGET
 from cyclamentally_calls.server_connection import (
     ConnectionLimits,
     RequestHandler,
@@ -35,6 +45,8 @@
 IDLE_S = 8.0
 # The upstream runs on the same host, so a connection takes no time.
 CONNECT_S = 0.5
+# The question at the start who the upstream is; its heartbeat answers it too.
+PROBE_S = 0.5
 # Heartbeats of this many periods missed: the upstream is taken to be away.
 MISSED_HEARTBEATS = 3.5
 # While requests wait they are checked often, so that refusals come early.
@@ -43,10 +55,32 @@
 # Bounds of what other nodes send: heads carry a ticket besides the caller's.
 PEER_LIMITS = ConnectionLimits(128 * 1024, 256 * 1024 * 1024, 5.0, 60.0)
 HTTP_OK = 200
+HTTP_UNAVAILABLE = 503
 FIRST_REDIRECT = 300
 MISDIRECTED = 421
 
 
+class Neighbour:
+    """The upstream beside a node as the settings name it.
+
+    Parameters
+    ----------
+    service : str
+        Its service.
+    address : str
+        Its ``IP:port``.
+    heartbeat_s : float
+        Time between its heartbeats, in seconds.
+    """
+
+    __slots__ = ("address", "heartbeat_s", "service")
+
+    def __init__(self, service, address, heartbeat_s):
+        self.service = service
+        self.address = address
+        self.heartbeat_s = heartbeat_s
+
+
 class Work:
     """A request at the gate.
 
@@ -80,10 +114,10 @@
         ``IP:port`` for other nodes.
     gate : Gate
         Decisions.
+    neighbour : Neighbour
+        The upstream.
     names : HeaderNames
         Headers shared with upstreams.
-    heartbeat_s : float
-        Time between heartbeats of the upstream, in seconds.
     store : Task
         Receiver of `UpstreamChanged`.
     counters : Counters
@@ -98,26 +132,27 @@
         "connections",
         "counters",
         "gate",
-        "heartbeat_s",
         "is_stopping",
         "listener",
         "log",
         "loop",
         "names",
+        "neighbour",
         "number",
         "pool",
         "published",
         "services",
         "store",
         "timer",
+        "version",
         "works",
     )
 
-    def __init__(self, loop, address, gate, names, heartbeat_s, store, counters, log):
+    def __init__(self, loop, address, gate, neighbour, names, store, counters, log):
         self.loop = loop
         self.gate = gate
         self.names = names
-        self.heartbeat_s = heartbeat_s
+        self.neighbour = neighbour
         self.store = store
         self.counters = counters
         self.log = log
@@ -130,6 +165,7 @@
         self.number = 0
         self.published = None
         self.services = {}
+        self.version = 0
         self.is_stopping = False
         self.timer = None
 
@@ -158,7 +194,14 @@
         elif isinstance(message, Heard):
             self._hear(message.said)
         elif isinstance(message, RoutesReplaced):
+            is_first = not self.services
+            self.version = message.table.version
             self.services = message.table.services
+            if is_first:
+                self._ask_neighbour()
+        elif isinstance(message, StateFound):
+            status = HTTP_OK if message.body else HTTP_UNAVAILABLE
+            message.exchange.answer(Answer(status, [], message.body))
         elif isinstance(message, DrainBegun):
             self._begin_drain()
 
@@ -169,12 +212,17 @@
     # Requests of other nodes.
 
     def on_request(self, exchange):
-        """Admit a request of another node."""
+        """Admit a request of another node, or tell it what this one knows."""
+        if exchange.request.target == STATE_TARGET:
+            self.loop.post(self.store, StateAsked(self, exchange))
+            return
         ticket = decode_ticket(exchange.request.find(TICKET_HEADER.lower()))
         if ticket is None:
             refusal = Refused(Kind.MESSAGE_MALFORMED, "no ticket")
             exchange.answer(self.refuse(exchange.request, refusal))
             return
+        if ticket.version > self.version:
+            self.loop.post(self.store, NewerKnown(ticket.sender, ticket.version))
         origin = PeerOrigin(exchange, self.names.request_id)
         work = self._admit(origin, ticket, exchange.request)
         if work is not None:
@@ -220,6 +268,10 @@
         if self.is_stopping:
             refusal = Refused(Kind.STOPPING, "this node is stopping")
             self._carry_out([RefuseWork(ticket.number, refusal)])
+        elif not self.services:
+            # Calls that the upstream makes for the request would have no route.
+            refusal = Refused(Kind.NOT_READY, "no configuration has been read yet")
+            self._carry_out([RefuseWork(ticket.number, refusal)])
         else:
             self._carry_out(self.gate.admit(ticket, now))
         return work if ticket.number in self.works else None
@@ -235,6 +287,34 @@
         effects = self.gate.finish(work.ticket.number, False, self.loop.clock())
         self._carry_out(effects)
 
+    def _ask_neighbour(self):
+        """Ask the upstream who it is, once, rather than await its heartbeat.
+
+        A node that was restarted is of use a heartbeat earlier. An upstream
+        that leaves does not answer with a success.
+        """
+        rule = self.services.get(self.neighbour.service)
+        if rule is None or self.gate.state != "empty":
+            return
+        address = self.neighbour.address
+        path = rule.health_path.encode()
+        headers = [(b"Host", address.encode())]
+        data = encode_request(b"GET", path, headers, b"", False)
+        sending = Sending(data, None, self._take_identity)
+        self.counters.add("probes_total")
+        self.pool.send(address, sending, self.loop.clock() + PROBE_S)
+
+    def _take_identity(self, result):
+        if not isinstance(result, Answered) or result.answer.status != HTTP_OK:
+            return
+        name = result.answer.find(self.names.upstream_name.lower).decode("latin-1")
+        load = result.answer.find(self.names.upstream_load.lower).split(b",")
+        if self.gate.state != "empty" or not name or not load[-1].strip().isdigit():
+            return
+        slots = max(1, int(load[-1]))
+        n = self.neighbour
+        self._hear(Heartbeat(name, n.service, n.address, 0, 0, slots, 0.0, False))
+
     def _hear(self, said):
         before = self.gate.heartbeat
         now = self.loop.clock()
@@ -256,7 +336,6 @@
         identity = (
             heartbeat.upstream,
             heartbeat.service,
-            heartbeat.started_ms,
             heartbeat.slots,
             is_open,
         )
@@ -379,7 +458,7 @@
         now = self.loop.clock()
         silence = now - self.gate.heard_at
         if self.gate.state == "open":
-            if silence > MISSED_HEARTBEATS * self.heartbeat_s:
+            if silence > MISSED_HEARTBEATS * self.neighbour.heartbeat_s:
                 self._lose("silent")
             self._carry_out(self.gate.tick(now))
         pause = BUSY_TICK_S if self.gate.waiting else CALM_TICK_S
--- a/packages/cyclamentally-calls/cyclamentally_calls/header_names.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/header_names.py
@@ -28,6 +28,10 @@
         Present where an upstream has not run the request.
     calling_service : str
         Service beside the node where the request arrived.
+    upstream_name : str
+        Identifier of the upstream, on answers to its liveness check.
+    upstream_load : str
+        Requests that run, that wait, and slots, separated by commas.
     """
 
     __slots__ = (
@@ -37,6 +41,8 @@
         "not_run",
         "request_id",
         "signature",
+        "upstream_load",
+        "upstream_name",
     )
 
     def __init__(
@@ -47,6 +53,8 @@
         expected_upstream,
         not_run,
         calling_service,
+        upstream_name,
+        upstream_load,
     ):
         self.request_id = HeaderName(request_id)
         self.deadline_ms = HeaderName(deadline_ms)
@@ -54,6 +62,8 @@
         self.expected_upstream = HeaderName(expected_upstream)
         self.not_run = HeaderName(not_run)
         self.calling_service = HeaderName(calling_service)
+        self.upstream_name = HeaderName(upstream_name)
+        self.upstream_load = HeaderName(upstream_load)
 
     @property
     def set_by_mesh(self):
--- a/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
@@ -11,7 +11,7 @@
 from cyclamentally_calls.control_task import ControlTask
 from cyclamentally_calls.counters import Counters
 from cyclamentally_calls.decision_log import DecisionLog
-from cyclamentally_calls.gate_task import GateTask
+from cyclamentally_calls.gate_task import GateTask, Neighbour
 from cyclamentally_calls.loop import Loop
 from cyclamentally_calls.outbound_task import OutboundTask
 from cyclamentally_calls.store_task import StoreTask
@@ -39,6 +39,8 @@
         ``IP:port`` of the platform's store.
     service : str
         Service of the upstream beside it.
+    upstream : str
+        ``IP:port`` of that upstream.
     heartbeat_s : float
         Time between heartbeats, in seconds.
     stop_s : float
@@ -56,16 +58,27 @@
         "service",
         "stop_s",
         "store",
+        "upstream",
     )
 
     def __init__(
-        self, place, callers, control, store, service, heartbeat_s, stop_s, budget
+        self,
+        place,
+        callers,
+        control,
+        store,
+        service,
+        upstream,
+        heartbeat_s,
+        stop_s,
+        budget,
     ):
         self.place = place
         self.callers = callers
         self.control = control
         self.store = store
         self.service = service
+        self.upstream = upstream
         self.heartbeat_s = heartbeat_s
         self.stop_s = stop_s
         self.budget = budget
@@ -150,8 +163,8 @@
             self.loop,
             settings.place.address,
             Gate(),
+            Neighbour(settings.service, settings.upstream, settings.heartbeat_s),
             dialects.names,
-            settings.heartbeat_s,
             self.store,
             self.counters,
             self.log,
@@ -207,7 +220,7 @@
         outbound = OutboundTask(
             self.loop,
             settings.callers,
-            place.name,
+            place,
             settings.service,
             dialects.names,
             Places(place.domain, place.region, EarliestPlacement(random)),
--- a/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
@@ -88,8 +88,8 @@
         Event loop.
     address : str
         ``IP:port`` for callers.
-    host : str
-        Name of this host, whose gate is reached by message.
+    place : Place
+        This host, whose own gate is reached by message.
     service : str
         Service beside this node, named to upstreams as the caller.
     names : HeaderNames
@@ -124,6 +124,7 @@
         "loop",
         "names",
         "number",
+        "peer_address",
         "places",
         "pool",
         "service",
@@ -136,7 +137,7 @@
         self,
         loop,
         address,
-        host,
+        place,
         service,
         names,
         places,
@@ -147,7 +148,8 @@
     ):
         self.loop = loop
         self.address = address
-        self.host = host
+        self.host = place.name
+        self.peer_address = place.address
         self.service = service
         self.names = names
         self.places = places
@@ -335,6 +337,8 @@
             life.rule.priority,
             life.arrived + life.rule.target_s - now,
             life.expires - now,
+            self.peer_address,
+            self.table.version,
         )
         if view.entry.name == self.host:
             offered = Request(
@@ -408,7 +412,7 @@
     def _judge_refusal(self, view, refusal, now):
         if refusal.kind in (Kind.QUEUE_FULL, Kind.QUEUE_TIMEOUT):
             view.pause(now, min(refusal.wait or 0.0, FULL_PAUSE_S))
-        elif refusal.kind in (Kind.UPSTREAM_LEFT, Kind.STOPPING):
+        elif refusal.kind in (Kind.UPSTREAM_LEFT, Kind.STOPPING, Kind.NOT_READY):
             view.pause(now, LEFT_PAUSE_S)
         elif refusal.kind == Kind.UPSTREAM_OVERLOADED:
             view.pause(now, SHED_PAUSE_S)
--- a/packages/cyclamentally-calls/cyclamentally_calls/peer_codec.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/peer_codec.py
@@ -14,7 +14,7 @@
 )
 REFUSED_STATUS = 503
 MS = 1_000
-TICKET_FIELDS = 6
+TICKET_FIELDS = 8
 
 
 class PeerTicket:
@@ -30,17 +30,34 @@
         Time until the answer is worth less, in seconds; negative afterwards.
     left_s : float
         Time until the answer is of no use, in seconds.
+    sender : str
+        ``IP:port`` of the sender for other nodes.
+    version : int
+        Version of the sender's configuration.
     """
 
-    __slots__ = ("left_s", "priority", "route", "service", "target_s", "upstream")
-
-    def __init__(self, upstream, service, route, priority, target_s, left_s):
+    __slots__ = (
+        "left_s",
+        "priority",
+        "route",
+        "sender",
+        "service",
+        "target_s",
+        "upstream",
+        "version",
+    )
+
+    def __init__(
+        self, upstream, service, route, priority, target_s, left_s, sender, version
+    ):
         self.upstream = upstream
         self.service = service
         self.route = route
         self.priority = priority
         self.target_s = target_s
         self.left_s = left_s
+        self.sender = sender
+        self.version = version
 
 
 def encode_ticket(ticket):
@@ -52,6 +69,8 @@
         ticket.priority,
         int(ticket.target_s * MS),
         max(0, int(ticket.left_s * MS)),
+        ticket.sender,
+        ticket.version,
     ]
     return (TICKET_HEADER, encode(fields))
 
@@ -64,13 +83,22 @@
         return None
     if not isinstance(fields, list) or len(fields) != TICKET_FIELDS:
         return None
-    upstream, service, route, *numbers = fields
-    if not all(isinstance(text, str) for text in (upstream, service, route)):
+    upstream, service, route, priority, target_ms, left_ms, sender, version = fields
+    if not all(isinstance(text, str) for text in (upstream, service, route, sender)):
         return None
+    numbers = (priority, target_ms, left_ms, version)
     if not all(isinstance(number, int) for number in numbers):
         return None
-    priority, target_ms, left_ms = numbers
-    return PeerTicket(upstream, service, route, priority, target_ms / MS, left_ms / MS)
+    return PeerTicket(
+        upstream,
+        service,
+        route,
+        priority,
+        target_ms / MS,
+        left_ms / MS,
+        sender,
+        version,
+    )
 
 
 def encode_refusal(refusal):
--- a/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
@@ -28,7 +28,10 @@
     DrainBegun,
     HostFailed,
     HostsReplaced,
+    NewerKnown,
     RoutesReplaced,
+    StateAsked,
+    StateFound,
     UpstreamChanged,
 )
 from cyclamentally_calls.client_connection import ConnectionPool, Sending
@@ -36,6 +39,12 @@
 from cyclamentally_calls.http_codec import encode_request
 from cyclamentally_calls.loop import Task
 from cyclamentally_calls.outcomes import Answered
+from cyclamentally_calls.peer_state import (
+    STATE_TARGET,
+    PeerState,
+    decode_state,
+    encode_state,
+)
 from cyclamentally_calls.store_sinks import HostSink, RouteSink
 
 HOSTS_PREFIX = "cyclamentally/hosts/"
@@ -45,6 +54,8 @@
 IDLE_S = 30.0
 WATCH_MARGIN_S = 2.0
 TICK_S = 0.5
+# Another node is asked for its configuration this often at most, in seconds.
+PEER_PAUSE_S = 0.5
 
 REGISTRATION_EVENTS = {
     LeaseGranted: "lease_granted",
@@ -108,6 +119,8 @@
 
     __slots__ = (
         "address",
+        "asked_peer_at",
+        "configuration",
         "counters",
         "decode_routes",
         "dialect",
@@ -150,6 +163,8 @@
         self.registration = Registration(random)
         self.directory = HostDirectory()
         self.table = None
+        self.configuration = None
+        self.asked_peer_at = 0.0
         self.watches = {
             "routes": Watch(
                 config_prefix, RouteSink(self), random, loop.clock, polls_series=True
@@ -182,7 +197,7 @@
         self.pool.close()
 
     def receive(self, message):
-        """Handle `UpstreamChanged`, `HostFailed` and `DrainBegun`."""
+        """Handle the messages of the other tasks."""
         if isinstance(message, UpstreamChanged):
             p = self.place
             entry = HostEntry(p.name, p.domain, p.region, p.address, message.upstream)
@@ -191,6 +206,11 @@
             if message.name in self.directory.unlisted:
                 self.directory.fail(message.name)
                 self._tell_hosts()
+        elif isinstance(message, NewerKnown):
+            self._ask_peer(message)
+        elif isinstance(message, StateAsked):
+            found = StateFound(message.exchange, self._state())
+            self.loop.post(message.sender, found)
         elif isinstance(message, DrainBegun):
             self._register("leave")
 
@@ -198,6 +218,8 @@
 
     def take_configuration(self, item):
         """Put a configuration in force if it can be read and is newer."""
+        if self.configuration is not None and self.configuration.value == item.value:
+            return
         table = self.decode_routes(item.value)
         if table is None:
             self.counters.add("configurations_refused_total", "unreadable")
@@ -206,6 +228,7 @@
         if self.table is not None and table.version <= self.table.version:
             return
         self.table = table
+        self.configuration = item
         self.log.write("configuration", version=table.version, revision=item.revision)
         self._tell(RoutesReplaced(table))
 
@@ -235,6 +258,45 @@
                 self.directory.remove(name, change.revision, self.loop.clock())
         self._tell_hosts()
 
+    def _state(self):
+        """Return the bytes of what this node knows; none before it knows anything."""
+        if self.configuration is None:
+            return b""
+        revisions = self.directory.revisions
+        entries = self.directory.entries.values()
+        hosts = [(entry, revisions[entry.name]) for entry in entries]
+        return encode_state(PeerState(self.configuration, hosts))
+
+    def _ask_peer(self, known):
+        """Ask a node that knows a newer configuration, while the store is ill."""
+        now = self.loop.clock()
+        is_newer = self.table is None or known.version > self.table.version
+        is_due = now - self.asked_peer_at >= PEER_PAUSE_S
+        if self.well_since is not None or not is_newer or not is_due:
+            return
+        self.asked_peer_at = now
+        self.counters.add("peers_asked_total")
+        headers = [(b"Host", known.address.encode())]
+        data = encode_request(b"GET", STATE_TARGET, headers, b"", False)
+        sending = Sending(data, None, self._take_state)
+        self.pool.send(known.address, sending, now + CALL_S)
+
+    def _take_state(self, result):
+        """Take over what another node knows, if it is newer."""
+        state = None
+        if isinstance(result, Answered):
+            state = decode_state(result.answer.body)
+        if state is None:
+            self.counters.add("peer_states_refused_total")
+            detail = getattr(result, "detail", "the state cannot be read")
+            self.log.write("peer_state_refused", detail=detail)
+            return
+        for entry, revision in state.hosts:
+            if entry.name not in self.directory.entries:
+                self.directory.put(entry, revision)
+        self._tell_hosts()
+        self.take_configuration(state.configuration)
+
     def _check_own(self, change):
         """Write the own entry again if someone else changed or removed it."""
         if isinstance(change, StoredItem):
--- a/packages/cyclamentally/cyclamentally/gate.py
+++ b/packages/cyclamentally/cyclamentally/gate.py
@@ -57,6 +57,8 @@
     def is_next_lifetime(self, heartbeat):
         """Whether a heartbeat begins a lifetime later than the present one."""
         present = self.heartbeat
+        if self.is_same_lifetime(heartbeat):
+            return False
         if heartbeat.started_ms != present.started_ms:
             return heartbeat.started_ms > present.started_ms
         return heartbeat.upstream != present.upstream
@@ -64,7 +66,8 @@
     def is_same_lifetime(self, heartbeat):
         """Whether a heartbeat speaks of the present lifetime."""
         present = self.heartbeat
-        same_start = heartbeat.started_ms == present.started_ms
+        # An upstream that answered a liveness check has not said when it began.
+        same_start = present.started_ms in (0, heartbeat.started_ms)
         return same_start and heartbeat.upstream == present.upstream
 
     def is_newer(self, heartbeat):
--- a/packages/cyclamentally/cyclamentally/tests/test_gate.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_gate.py
@@ -111,6 +111,15 @@
     assert fresh.state == "open"
 
 
+def test_a_heartbeat_confirms_what_a_liveness_check_has_shown():
+    gate = Gate()
+    gate.hear(heartbeat(started=0, sequence=0), 0.0)
+    gate.admit(ticket(1), 0.0)
+    gate.hear(heartbeat(started=1_000, sequence=3), 0.1)
+    assert gate.heartbeat.started_ms == 1_000
+    assert list(gate.running) == [1]
+
+
 def test_an_end_of_another_upstream_changes_nothing(gate):
     gate.end("u0", said_ms=5_000, now=0.1)
     assert gate.state == "open"
