Move encodings, the store's link and the log's facts out of the tasks

Change: upstream_codec, caller_codec, store_link, work and calls hold what needs no socket of the task; no change of behaviour.

--- /dev/null
+++ b/packages/cyclamentally-calls/cyclamentally_calls/caller_codec.py
@@ -0,0 +1,67 @@
+"""What callers' requests say, and the refusals that callers are given."""
+
+from cyclamentally_calls.http_codec import Answer, forwarded
+from cyclamentally_calls.peer_codec import PEER_HEADERS
+
+MS = 1_000
+# Shorter waits would have a caller ask again before anything has changed.
+LEAST_RETRY_AFTER_S = 0.02
+# Named where no gate has said when a slot is likely: about one request's time.
+DEFAULT_RETRY_AFTER_S = 0.2
+
+
+def find_rule(table, request):
+    """Return the `RouteRule` of a request in a `RouteTable`, or None."""
+    host = request.find(b"host").decode("latin-1").lower()
+    host = host.rsplit(":", 1)[0] if ":" in host else host
+    path = request.target.decode("latin-1").partition("?")[0]
+    return table.find(host, path)
+
+
+def allowed_time(request, rule, names):
+    """Return the time for a request in seconds, by its caller and its route."""
+    text = request.find(names.deadline_ms.lower)
+    if text.isdigit():
+        return min(int(text) / MS, rule.timeout_s)
+    return rule.timeout_s
+
+
+def forwarded_headers(request, service, names):
+    """Return the headers that an upstream gets.
+
+    Parameters
+    ----------
+    request : Request
+        The caller's request.
+    service : str
+        Service beside the node where it arrived.
+    names : HeaderNames
+        Headers shared with callers and upstreams.
+    """
+    kept = forwarded(request.headers, names.set_by_mesh | PEER_HEADERS)
+    kept.append((names.calling_service.text, service.encode()))
+    return kept
+
+
+def refusal_answer(request, refusal, names):
+    """Return the `Answer` for a refusal.
+
+    Parameters
+    ----------
+    request : Request or None
+        None if no request could be read.
+    refusal : Refused
+        Reason, with the wait that a gate has named.
+    names : HeaderNames
+        Headers shared with callers and upstreams.
+    """
+    answer = refusal.answer
+    headers = [(b"Content-Type", b"text/plain")]
+    if answer.retry_after is not None:
+        wait = max(LEAST_RETRY_AFTER_S, refusal.wait or DEFAULT_RETRY_AFTER_S)
+        headers.append((b"Retry-After", b"%.3f" % wait))
+    echo = request.find(names.request_id.lower) if request is not None else b""
+    if echo:
+        headers.append((names.request_id.text, echo))
+    body = f"{refusal.kind}: {refusal.detail}\n".encode()
+    return Answer(answer.status, headers, body)
--- a/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
@@ -22,12 +22,11 @@
     UpstreamChanged,
 )
 from cyclamentally_calls.client_connection import ConnectionPool, Sending
-from cyclamentally_calls.http_codec import Answer, encode_request, forwarded
+from cyclamentally_calls.http_codec import Answer, encode_request
 from cyclamentally_calls.loop import Task
 from cyclamentally_calls.origins import LocalOrigin, PeerOrigin
-from cyclamentally_calls.outcomes import Answered, Lost
+from cyclamentally_calls.outcomes import Answered
 from cyclamentally_calls.peer_codec import (
-    PEER_HEADERS,
     TICKET_HEADER,
     decode_ticket,
     encode_refusal,
@@ -39,6 +38,8 @@
     ServerConnection,
 )
 from cyclamentally_calls.stream import Listener
+from cyclamentally_calls.upstream_codec import encode_work, judge_answer
+from cyclamentally_calls.work import Work
 
 MS = 1_000
 # Upstreams close idle connections after 10 s; theirs to state otherwise.
@@ -60,49 +61,6 @@
 MISDIRECTED = 421
 
 
-class Neighbour:
-    """The upstream beside a node as the settings name it.
-
-    Parameters
-    ----------
-    service : str
-        Its service.
-    address : str
-        Its ``IP:port``.
-    heartbeat_s : float
-        Time between its heartbeats, in seconds.
-    """
-
-    __slots__ = ("address", "heartbeat_s", "service")
-
-    def __init__(self, service, address, heartbeat_s):
-        self.service = service
-        self.address = address
-        self.heartbeat_s = heartbeat_s
-
-
-class Work:
-    """A request at the gate.
-
-    Parameters
-    ----------
-    origin : Origin
-        Receiver of the outcome.
-    request : Request
-        What the upstream is to get.
-    ticket : Ticket
-        What the gate knows of it.
-    """
-
-    __slots__ = ("origin", "request", "sending", "ticket")
-
-    def __init__(self, origin, request, ticket):
-        self.origin = origin
-        self.request = request
-        self.ticket = ticket
-        self.sending = None
-
-
 class GateTask(Task, RequestHandler):
     """Hand requests to the upstream beside this node as its gate decides.
 
@@ -373,18 +331,11 @@
 
     def _start_work(self, effect):
         work = self.works[effect.number]
-        now = self.loop.clock()
+        left_s = work.ticket.expires - self.loop.clock()
         heartbeat = effect.heartbeat
         names = self.names
         request = work.request
-        headers = forwarded(request.headers, PEER_HEADERS)
-        headers = [h for h in headers if h[0].lower() not in _set_here(names)]
-        left_ms = max(1, int((work.ticket.expires - now) * MS))
-        headers.append((names.deadline_ms.text, b"%d" % left_ms))
-        headers.append((names.expected_upstream.text, heartbeat.upstream.encode()))
-        data = encode_request(
-            request.method, request.target, headers, request.body, request.has_body
-        )
+        data = encode_work(request, heartbeat.upstream, left_s, names)
         request_id = request.find(names.request_id.lower)
         echo = (names.request_id.lower, request_id) if request_id else None
         work.sending = Sending(
@@ -396,7 +347,7 @@
         self.pool.send(heartbeat.address, work.sending, work.ticket.expires)
 
     def _finish_work(self, work, result):
-        outcome = self._judge(result)
+        outcome = judge_answer(result, self.names)
         if isinstance(outcome, Refused):
             if outcome.kind in (Kind.UPSTREAM_UNREACHABLE, Kind.UPSTREAM_LEFT):
                 self._lose("unreachable")
@@ -414,26 +365,6 @@
         self._resolve(work, outcome)
         self._carry_out(effects)
 
-    def _judge(self, result):
-        """Return ``Done`` for an answer that may be passed on."""
-        if isinstance(result, Lost):
-            kind = Kind.UPSTREAM_TIMEOUT if result.is_timeout else Kind.UPSTREAM_FAILED
-            return Refused(kind, result.detail)
-        if not isinstance(result, Answered):
-            return Refused(Kind.UPSTREAM_UNREACHABLE, result.detail)
-        answer = result.answer
-        if answer.find(self.names.not_run.lower):
-            return Refused(Kind.UPSTREAM_OVERLOADED, f"upstream says {answer.status}")
-        if answer.status == MISDIRECTED:
-            return Refused(Kind.UPSTREAM_LEFT, "another upstream has the address")
-        if answer.find(b"content-encoding"):
-            return Refused(Kind.UPSTREAM_TRUNCATED, "the body is encoded")
-        is_signed = bool(answer.find(self.names.signature.lower))
-        if HTTP_OK <= answer.status < FIRST_REDIRECT and not is_signed:
-            return Refused(Kind.UPSTREAM_TRUNCATED, "a success without signature")
-        headers = forwarded(answer.headers, PEER_HEADERS)
-        return Done(Answer(answer.status, headers, answer.body))
-
     def _lose(self, event):
         self._carry_out(self.gate.lose(event))
         self._publish()
@@ -463,7 +394,3 @@
             self._carry_out(self.gate.tick(now))
         pause = BUSY_TICK_S if self.gate.waiting else CALM_TICK_S
         self.timer = self.loop.call_after(pause, self._tick)
-
-
-def _set_here(names):
-    return (names.deadline_ms.lower, names.expected_upstream.lower)
--- a/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
@@ -11,10 +11,11 @@
 from cyclamentally_calls.control_task import ControlTask
 from cyclamentally_calls.counters import Counters
 from cyclamentally_calls.decision_log import DecisionLog
-from cyclamentally_calls.gate_task import GateTask, Neighbour
+from cyclamentally_calls.gate_task import GateTask
 from cyclamentally_calls.loop import Loop
 from cyclamentally_calls.outbound_task import OutboundTask
 from cyclamentally_calls.store_task import StoreTask
+from cyclamentally_calls.work import Neighbour
 
 # Callers learn from two readiness checks, a second apart, that a node ends.
 CALLERS_LEAVE_S = 2.3
--- a/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
@@ -8,6 +8,7 @@
     no_upstream,
     time_over,
 )
+from cyclamentally.placing import pause_after
 from cyclamentally_calls.call_events import (
     DrainBegun,
     HostFailed,
@@ -17,6 +18,13 @@
     OfferWithdrawn,
     RoutesReplaced,
 )
+from cyclamentally_calls.caller_codec import (
+    allowed_time,
+    find_rule,
+    forwarded_headers,
+    refusal_answer,
+)
+from cyclamentally_calls.calls import Call, call_facts, refusal_facts, request_id_of
 from cyclamentally_calls.client_connection import ConnectionPool, Sending
 from cyclamentally_calls.http_codec import Answer, Request, encode_request, forwarded
 from cyclamentally_calls.loop import Task
@@ -45,38 +53,6 @@
 SILENCE_S = 0.8
 PEER_IDLE_S = 30.0
 FAILURE_STATUS = 500
-# An upstream that left comes back only with another entry, but a node that was
-# restarted refuses in the same way until its upstream's next heartbeat.
-LEFT_PAUSE_S = 2.0
-# An upstream that sheds may have a free slot after about half a request.
-SHED_PAUSE_S = 0.05
-# The gate's own wait is an estimate; longer pauses would leave slots unused.
-FULL_PAUSE_S = 0.05
-LEAST_RETRY_AFTER_S = 0.02
-DEFAULT_RETRY_AFTER_S = 0.2
-
-
-class Call:
-    """A caller's request with its decisions and what is out for it.
-
-    Parameters
-    ----------
-    exchange : Exchange
-        Where the answer goes.
-    life : Forwarding
-        Decisions.
-    headers : list
-        Headers that the upstream gets.
-    """
-
-    __slots__ = ("exchange", "headers", "life", "sending", "timer")
-
-    def __init__(self, exchange, life, headers):
-        self.exchange = exchange
-        self.life = life
-        self.headers = headers
-        self.sending = None
-        self.timer = None
 
 
 class OutboundTask(Task, RequestHandler):
@@ -216,20 +192,22 @@
             detail = "no configuration has been read yet"
             self._refuse(exchange, Refused(Kind.NOT_READY, detail, None))
             return
-        rule = self._find_rule(request)
+        rule = find_rule(self.table, request)
         if rule is None:
             self._refuse(exchange, Refused(Kind.NO_ROUTE, "no route"))
             return
         now = self.loop.clock()
         service = self.turns.choose(rule)
-        expires = exchange.arrived + self._allowed(request, rule)
+        expires = exchange.arrived + allowed_time(request, rule, self.names)
         budget = self.budgets.get(service)
         if budget is None:
             budget = self.budgets[service] = ServiceBudget(self.budget_rule)
         budget.note_first(now)
         self.number += 1
         life = Forwarding(self.number, rule, service, exchange.arrived, expires, budget)
-        call = Call(exchange, life, self._headers(request))
+        call = Call(
+            exchange, life, forwarded_headers(request, self.service, self.names)
+        )
         self.calls[life.number] = call
         self.by_exchange[exchange] = call
         call.timer = self.loop.call_at(expires, lambda: self._time_out(call))
@@ -242,7 +220,11 @@
             return
         call.life.fire("caller_gone")
         self.counters.add("calls_abandoned_total")
-        self.log.success("caller_gone", id=self._id(call), route=call.life.rule.name)
+        self.log.success(
+            "caller_gone",
+            id=request_id_of(call.exchange.request, self.names),
+            route=call.life.rule.name,
+        )
         self._withdraw(call)
         self._forget(call)
 
@@ -254,24 +236,13 @@
         """Return whether a request may run twice, and so need not wait."""
         if self.table is None:
             return True
-        rule = self._find_rule(request)
+        rule = find_rule(self.table, request)
         return rule is None or rule.kind.may_repeat
 
     def refuse(self, request, refusal):
         """Return the answer to a refused request, and count it."""
         self.counters.add("requests_refused_total", refusal.kind)
-        answer = refusal.answer
-        headers = [(b"Content-Type", b"text/plain")]
-        if answer.retry_after is not None:
-            wait = refusal.wait or DEFAULT_RETRY_AFTER_S
-            wait = max(LEAST_RETRY_AFTER_S, wait)
-            headers.append((b"Retry-After", b"%.3f" % wait))
-        if request is not None:
-            echo = request.find(self.names.request_id.lower)
-            if echo:
-                headers.append((self.names.request_id.text, echo))
-        body = f"{refusal.kind}: {refusal.detail}\n".encode()
-        return Answer(answer.status, headers, body)
+        return refusal_answer(request, refusal, self.names)
 
     def _accept(self, accepted):
         connection = ServerConnection(self.loop, accepted, self, self.limits)
@@ -287,25 +258,6 @@
         for connection in self.connections:
             connection.limits = self.limits
 
-    def _find_rule(self, request):
-        host = request.find(b"host").decode("latin-1").lower()
-        host = host.rsplit(":", 1)[0] if ":" in host else host
-        path = request.target.decode("latin-1").partition("?")[0]
-        return self.table.find(host, path)
-
-    def _allowed(self, request, rule):
-        """Return the time for a request in seconds, by caller and route."""
-        text = request.find(self.names.deadline_ms.lower)
-        if text.isdigit():
-            return min(int(text) / MS, rule.timeout_s)
-        return rule.timeout_s
-
-    def _headers(self, request):
-        names = self.names
-        kept = forwarded(request.headers, names.set_by_mesh | PEER_HEADERS)
-        kept.append((names.calling_service.text, self.service.encode()))
-        return kept
-
     # Offers.
 
     def _place(self, call):
@@ -404,21 +356,11 @@
             event = "failure_answer" if is_failure else "answer"
             effects = life.fire(event, OfferResult(answer, None, now, nodes))
         else:
-            self._judge_refusal(view, outcome, now)
+            pause_after(view, outcome, now)
             effects = life.fail(OfferResult(None, outcome, now, nodes))
         self.counters.take(effects)
         self._go_on(call)
 
-    def _judge_refusal(self, view, refusal, now):
-        if refusal.kind in (Kind.QUEUE_FULL, Kind.QUEUE_TIMEOUT):
-            view.pause(now, min(refusal.wait or 0.0, FULL_PAUSE_S))
-        elif refusal.kind in (Kind.UPSTREAM_LEFT, Kind.STOPPING, Kind.NOT_READY):
-            view.pause(now, LEFT_PAUSE_S)
-        elif refusal.kind == Kind.UPSTREAM_OVERLOADED:
-            view.pause(now, SHED_PAUSE_S)
-        elif refusal.kind == Kind.UPSTREAM_UNREACHABLE:
-            view.fail(now)
-
     def _go_on(self, call):
         """Do what the state of the request asks for."""
         life = call.life
@@ -428,7 +370,10 @@
             self._answer(call, life.answer)
         elif life.state == "refused":
             refusal = life.final_refusal()
-            self._log_refusal(call, refusal)
+            known = len(self.hosts.get(life.service, ()))
+            self.log.write(
+                "refused", **self._facts(call), **refusal_facts(refusal, known)
+            )
             self._answer(call, self.refuse(call.exchange.request, refusal))
 
     def _finish(self, call, event, refusal):
@@ -449,45 +394,25 @@
 
     def _answer(self, call, answer):
         headers = forwarded(answer.headers, PEER_HEADERS)
-        life = call.life
         self._forget(call)
         self.counters.add("calls_answered_total", answer.status)
-        self.log.success(
-            "answered",
-            id=self._id(call),
-            route=life.rule.name,
-            status=answer.status,
-            offers=life.offers,
-            version=self.table.version,
-            ms=int((self.loop.clock() - life.arrived) * MS),
-        )
+        self.log.success("answered", status=answer.status, **self._facts(call))
         call.exchange.answer(Answer(answer.status, headers, answer.body))
 
     def _refuse(self, exchange, refusal):
         self.log.write(
             "refused",
-            id=exchange.request.find(self.names.request_id.lower).decode("latin-1"),
+            id=request_id_of(exchange.request, self.names),
             kind=refusal.kind,
             detail=refusal.detail,
             version=self.table.version if self.table else None,
         )
         exchange.answer(self.refuse(exchange.request, refusal))
 
-    def _log_refusal(self, call, refusal):
-        life = call.life
-        self.log.write(
-            "refused",
-            id=self._id(call),
-            route=life.rule.name,
-            service=life.service,
-            kind=refusal.kind,
-            detail=refusal.detail,
-            offers=life.offers,
-            attempts=life.attempts,
-            known=len(self.hosts.get(life.service, ())),
-            version=self.table.version,
-            ms=int((self.loop.clock() - life.arrived) * MS),
-        )
+    def _facts(self, call):
+        """Return what every line on a request says."""
+        now = self.loop.clock()
+        return call_facts(call, self.table.version, now, self.names)
 
     def _withdraw(self, call):
         """Stop what is out for a request."""
@@ -504,7 +429,3 @@
         call.timer.cancel()
         self.calls.pop(call.life.number, None)
         self.by_exchange.pop(call.exchange, None)
-
-    def _id(self, call):
-        request_id = call.exchange.request.find(self.names.request_id.lower)
-        return request_id.decode("latin-1")
--- /dev/null
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_link.py
@@ -0,0 +1,98 @@
+"""Calls to the platform's store, and whether it is well."""
+
+from functools import partial
+
+from cyclamentally.store_outcomes import StoreFailed
+from cyclamentally_calls.client_connection import ConnectionPool, Sending
+from cyclamentally_calls.http_codec import encode_request
+from cyclamentally_calls.outcomes import Answered
+
+# The store answers in milliseconds; one that is slow takes some 0.3 s.
+CALL_S = 1.0
+CONNECT_S = 0.5
+# A store that acknowledges nothing for this long is cut off, in seconds.
+SILENCE_S = 2.0
+IDLE_S = 30.0
+
+
+class StoreLink:
+    """Send calls to the store; owned by the store task.
+
+    Parameters
+    ----------
+    loop : Loop
+        Event loop.
+    address : str
+        ``IP:port`` of the store.
+    counters : Counters
+        Counts.
+    log : DecisionLog
+        Log.
+    on_return : callable
+        Called when the store answers after it did not.
+    """
+
+    __slots__ = (
+        "address",
+        "counters",
+        "log",
+        "loop",
+        "on_return",
+        "pool",
+        "well_since",
+    )
+
+    def __init__(self, loop, address, counters, log, on_return):
+        self.loop = loop
+        self.address = address
+        self.counters = counters
+        self.log = log
+        self.on_return = on_return
+        self.pool = ConnectionPool(loop, IDLE_S, CONNECT_S, SILENCE_S)
+        # Since when the store has answered, in seconds; None while it does not.
+        self.well_since = None
+
+    def call(self, call, on_outcome, limit=CALL_S):
+        """Make a call; returns the `Sending`, by which it can be cancelled.
+
+        Parameters
+        ----------
+        call : StoreCall
+            The encoded call.
+        on_outcome : callable
+            Takes the outcome.
+        limit : float
+            Longest time until the answer, in seconds.
+        """
+        headers = [(b"Host", self.address.encode())]
+        if call.body:
+            headers.append((b"Content-Type", b"application/json"))
+        has_body = bool(call.body)
+        data = encode_request(call.method, call.target, headers, call.body, has_body)
+        self.counters.add("store_calls_total", call.method.decode())
+        sending = Sending(data, None, partial(self._finish, call, on_outcome))
+        self.pool.send(self.address, sending, self.loop.clock() + limit)
+        return sending
+
+    def close(self):
+        """Close the connections."""
+        self.pool.close()
+
+    def _finish(self, call, on_outcome, result):
+        if isinstance(result, Answered):
+            outcome = call.decode(result.answer.status, result.answer.body)
+        else:
+            outcome = StoreFailed(result.detail, may_have_run=True)
+        if isinstance(outcome, StoreFailed):
+            self._note_failure(outcome)
+        elif self.well_since is None:
+            self.well_since = self.loop.clock()
+            self.log.write("store_well")
+            self.on_return()
+        on_outcome(outcome)
+
+    def _note_failure(self, outcome):
+        self.counters.add("store_failures_total")
+        if self.well_since is not None:
+            self.log.write("store_ill", detail=outcome.detail)
+        self.well_since = None
--- a/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
@@ -34,7 +34,7 @@
     StateFound,
     UpstreamChanged,
 )
-from cyclamentally_calls.client_connection import ConnectionPool, Sending
+from cyclamentally_calls.client_connection import Sending
 from cyclamentally_calls.entry_codec import decode_entry, encode_entry
 from cyclamentally_calls.http_codec import encode_request
 from cyclamentally_calls.loop import Task
@@ -45,13 +45,10 @@
     decode_state,
     encode_state,
 )
+from cyclamentally_calls.store_link import CALL_S, StoreLink
 from cyclamentally_calls.store_sinks import HostSink, RouteSink
 
 HOSTS_PREFIX = "cyclamentally/hosts/"
-CALL_S = 1.0
-CONNECT_S = 0.5
-SILENCE_S = 2.0
-IDLE_S = 30.0
 WATCH_MARGIN_S = 2.0
 TICK_S = 0.5
 # Another node is asked for its configuration this often at most, in seconds.
@@ -118,7 +115,6 @@
     """
 
     __slots__ = (
-        "address",
         "asked_peer_at",
         "configuration",
         "counters",
@@ -126,18 +122,17 @@
         "dialect",
         "directory",
         "is_stopping",
+        "link",
         "listeners",
         "log",
         "loop",
         "place",
-        "pool",
         "registration",
         "table",
         "timer",
         "wakes",
         "watches",
         "watching",
-        "well_since",
     )
 
     def __init__(
@@ -153,13 +148,12 @@
         log,
     ):
         self.loop = loop
-        self.address = address
         self.dialect = dialect
         self.decode_routes = decode_routes
         self.place = place
         self.counters = counters
         self.log = log
-        self.pool = ConnectionPool(loop, IDLE_S, CONNECT_S, SILENCE_S)
+        self.link = StoreLink(loop, address, counters, log, self._return_to_store)
         self.registration = Registration(random)
         self.directory = HostDirectory()
         self.table = None
@@ -176,7 +170,6 @@
         # The one timer of each event, by the object that it is for.
         self.wakes = {}
         self.listeners = []
-        self.well_since = None
         self.is_stopping = None
         self.timer = None
 
@@ -194,7 +187,7 @@
     def close(self):
         """Close the connections."""
         self.timer.cancel()
-        self.pool.close()
+        self.link.close()
 
     def receive(self, message):
         """Handle the messages of the other tasks."""
@@ -272,14 +265,14 @@
         now = self.loop.clock()
         is_newer = self.table is None or known.version > self.table.version
         is_due = now - self.asked_peer_at >= PEER_PAUSE_S
-        if self.well_since is not None or not is_newer or not is_due:
+        if self.link.well_since is not None or not is_newer or not is_due:
             return
         self.asked_peer_at = now
         self.counters.add("peers_asked_total")
         headers = [(b"Host", known.address.encode())]
         data = encode_request(b"GET", STATE_TARGET, headers, b"", False)
         sending = Sending(data, None, self._take_state)
-        self.pool.send(known.address, sending, now + CALL_S)
+        self.link.pool.send(known.address, sending, now + CALL_S)
 
     def _take_state(self, result):
         """Take over what another node knows, if it is newer."""
@@ -324,15 +317,15 @@
     def _register(self, event, message=None):
         for effect in self.registration.fire(event, message) or ():
             if isinstance(effect, AskLease):
-                self._call(self.dialect.grant_lease(effect.ttl_s), self._registered)
+                self.link.call(self.dialect.grant_lease(effect.ttl_s), self._registered)
             elif isinstance(effect, KeepLease):
-                self._call(self.dialect.keep_lease(effect.lease), self._registered)
+                self.link.call(self.dialect.keep_lease(effect.lease), self._registered)
             elif isinstance(effect, WriteEntry):
                 value = encode_entry(effect.entry)
                 call = self.dialect.write(self.key, value, effect.lease)
-                self._call(call, self._registered)
+                self.link.call(call, self._registered)
             elif isinstance(effect, RemoveEntry):
-                self._call(self.dialect.remove(self.key), self._registered)
+                self.link.call(self.dialect.remove(self.key), self._registered)
             elif isinstance(effect, Wake):
                 self._wake("registration", effect, self._register)
 
@@ -359,7 +352,7 @@
         if earlier is not None:
             earlier.cancel()
         on_outcome = partial(self._watched, watch)
-        self.watching[watch.prefix] = self._call(call, on_outcome, limit)
+        self.watching[watch.prefix] = self.link.call(call, on_outcome, limit)
 
     def _watched(self, watch, outcome):
         if isinstance(outcome, Page):
@@ -378,38 +371,6 @@
         run = partial(fire, effect.event)
         self.wakes[key] = self.loop.call_after(effect.delay_s, run)
 
-    def _call(self, call, on_outcome, limit=CALL_S):
-        headers = [(b"Host", self.address.encode())]
-        if call.body:
-            headers.append((b"Content-Type", b"application/json"))
-        data = encode_request(
-            call.method, call.target, headers, call.body, bool(call.body)
-        )
-
-        def finish(result):
-            on_outcome(self._outcome(call, result))
-
-        self.counters.add("store_calls_total", call.method.decode())
-        sending = Sending(data, None, finish)
-        self.pool.send(self.address, sending, self.loop.clock() + limit)
-        return sending
-
-    def _outcome(self, call, result):
-        if isinstance(result, Answered):
-            outcome = call.decode(result.answer.status, result.answer.body)
-        else:
-            outcome = StoreFailed(result.detail, may_have_run=True)
-        if isinstance(outcome, StoreFailed):
-            self.counters.add("store_failures_total")
-            if self.well_since is not None:
-                self.log.write("store_ill", detail=outcome.detail)
-            self.well_since = None
-        elif self.well_since is None:
-            self.well_since = self.loop.clock()
-            self.log.write("store_well")
-            self._return_to_store()
-        return outcome
-
     def _return_to_store(self):
         """Ask anew for all that may have been missed while the store was ill."""
         for watch in self.watches.values():
@@ -418,7 +379,7 @@
 
     def _tick(self):
         before = len(self.directory.entries)
-        self.directory.tick(self.loop.clock(), self.well_since)
+        self.directory.tick(self.loop.clock(), self.link.well_since)
         if len(self.directory.entries) != before:
             self._tell_hosts()
         self.timer = self.loop.call_after(TICK_S, self._tick)
--- /dev/null
+++ b/packages/cyclamentally-calls/cyclamentally_calls/upstream_codec.py
@@ -0,0 +1,64 @@
+"""What an upstream is sent, and which of its answers may be passed on."""
+
+from cyclamentally.errors import Done, Kind, Refused
+from cyclamentally_calls.http_codec import Answer, encode_request, forwarded
+from cyclamentally_calls.outcomes import Answered, Lost
+from cyclamentally_calls.peer_codec import PEER_HEADERS
+
+MS = 1_000
+HTTP_OK = 200
+FIRST_REDIRECT = 300
+MISDIRECTED = 421
+
+
+def encode_work(request, upstream, left_s, names):
+    """Return the bytes of a request for an upstream.
+
+    Parameters
+    ----------
+    request : Request
+        The request as the sender's node gave it.
+    upstream : str
+        Identifier of the upstream that alone may run it.
+    left_s : float
+        Time that the caller goes on waiting, in seconds.
+    names : HeaderNames
+        Headers shared with upstreams.
+    """
+    left_out = PEER_HEADERS | {names.deadline_ms.lower, names.expected_upstream.lower}
+    headers = forwarded(request.headers, left_out)
+    left_ms = max(1, int(left_s * MS))
+    headers.append((names.deadline_ms.text, b"%d" % left_ms))
+    headers.append((names.expected_upstream.text, upstream.encode()))
+    return encode_request(
+        request.method, request.target, headers, request.body, request.has_body
+    )
+
+
+def judge_answer(result, names):
+    """Return ``Done`` with an answer that may be passed on, or ``Refused``.
+
+    Parameters
+    ----------
+    result : Answered, NotSent or Lost
+        What came of sending the request.
+    names : HeaderNames
+        Headers shared with upstreams.
+    """
+    if isinstance(result, Lost):
+        kind = Kind.UPSTREAM_TIMEOUT if result.is_timeout else Kind.UPSTREAM_FAILED
+        return Refused(kind, result.detail)
+    if not isinstance(result, Answered):
+        return Refused(Kind.UPSTREAM_UNREACHABLE, result.detail)
+    answer = result.answer
+    if answer.find(names.not_run.lower):
+        return Refused(Kind.UPSTREAM_OVERLOADED, f"upstream says {answer.status}")
+    if answer.status == MISDIRECTED:
+        return Refused(Kind.UPSTREAM_LEFT, "another upstream has the address")
+    if answer.find(b"content-encoding"):
+        return Refused(Kind.UPSTREAM_TRUNCATED, "the body is encoded")
+    is_signed = bool(answer.find(names.signature.lower))
+    if HTTP_OK <= answer.status < FIRST_REDIRECT and not is_signed:
+        return Refused(Kind.UPSTREAM_TRUNCATED, "a success without signature")
+    headers = forwarded(answer.headers, PEER_HEADERS)
+    return Done(Answer(answer.status, headers, answer.body))
--- a/packages/cyclamentally/cyclamentally/placing.py
+++ b/packages/cyclamentally/cyclamentally/placing.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 
+from cyclamentally.errors import Kind
 from cyclamentally.records import Record
 
 # Round trips within a failure domain, a region and between regions, seconds;
@@ -20,6 +21,13 @@
 FIRST_SERVICE_S = 0.05
 # What an upstream's gate said of its load loses half of its weight in this time.
 LOAD_HALF_LIFE_S = 0.5
+# An upstream that left comes back only with another entry, but a node that was
+# restarted refuses in the same way until its upstream's next heartbeat.
+LEFT_PAUSE_S = 2.0
+# An upstream that sheds may have a free slot after about half a request.
+SHED_PAUSE_S = 0.05
+# The gate's own wait is an estimate; longer pauses would leave slots unused.
+FULL_PAUSE_S = 0.05
 FIRST_PAUSE_S = 0.25
 LONGEST_PAUSE_S = 4.0
 
@@ -214,3 +222,26 @@
 
 def _pause_end(view):
     return view.paused_until
+
+
+def pause_after(view, refusal, now):
+    """Leave an upstream out for a while, by the reason of its refusal.
+
+    Parameters
+    ----------
+    view : View
+        The upstream.
+    refusal : Refused
+        What its gate or the way to it has come to.
+    now : float
+        Time in seconds.
+    """
+    kind = refusal.kind
+    if kind in (Kind.QUEUE_FULL, Kind.QUEUE_TIMEOUT):
+        view.pause(now, min(refusal.wait or 0.0, FULL_PAUSE_S))
+    elif kind in (Kind.UPSTREAM_LEFT, Kind.STOPPING, Kind.NOT_READY):
+        view.pause(now, LEFT_PAUSE_S)
+    elif kind == Kind.UPSTREAM_OVERLOADED:
+        view.pause(now, SHED_PAUSE_S)
+    elif kind == Kind.UPSTREAM_UNREACHABLE:
+        view.fail(now)
