Leave out a host that does not answer in time; one type for callers' limits

Cause: a frozen host still takes connections, so requests offered to it ran into the route's timeout one after the other; and the bounds of callers stood in two classes.

Change: a timeout pauses the host as a broken connection does. CallerLimits serves connections too; the coding of offers has a module of its own.

--- a/packages/cyclamentally-calls/cyclamentally_calls/control_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/control_task.py
@@ -4,6 +4,7 @@
 
 from cyclamentally.errors import Kind, Refused
 from cyclamentally.records import Record
+from cyclamentally.routes import CallerLimits
 from cyclamentally_calls.call_events import (
     DrainBegun,
     Heard,
@@ -13,13 +14,12 @@
 from cyclamentally_calls.http_codec import Answer
 from cyclamentally_calls.loop import Task
 from cyclamentally_calls.server_connection import (
-    ConnectionLimits,
     RequestHandler,
     ServerConnection,
 )
 from cyclamentally_calls.stream import Listener
 
-LIMITS = ConnectionLimits(16 * 1024, 64 * 1024, 5.0, 60.0)
+LIMITS = CallerLimits(16 * 1024, 64 * 1024, 5.0, 60.0)
 HTTP_OK = 200
 HTTP_UNAVAILABLE = 503
 
--- a/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
@@ -10,6 +10,7 @@
     UpstreamEnded,
 )
 from cyclamentally.hosts import UpstreamEntry
+from cyclamentally.routes import CallerLimits
 from cyclamentally_calls.call_events import (
     DrainBegun,
     Heard,
@@ -33,7 +34,6 @@
 )
 from cyclamentally_calls.peer_state import STATE_TARGET
 from cyclamentally_calls.server_connection import (
-    ConnectionLimits,
     RequestHandler,
     ServerConnection,
 )
@@ -54,7 +54,7 @@
 BUSY_TICK_S = 0.05
 CALM_TICK_S = 0.25
 # Bounds of what other nodes send: heads carry a ticket besides the caller's.
-PEER_LIMITS = ConnectionLimits(128 * 1024, 256 * 1024 * 1024, 5.0, 60.0)
+PEER_LIMITS = CallerLimits(128 * 1024, 256 * 1024 * 1024, 5.0, 60.0)
 HTTP_OK = 200
 HTTP_UNAVAILABLE = 503
 FIRST_REDIRECT = 300
--- /dev/null
+++ b/packages/cyclamentally-calls/cyclamentally_calls/offer_codec.py
@@ -0,0 +1,51 @@
+"""A request on its way to another node's gate, and what comes back."""
+
+from cyclamentally.errors import Done, Kind, Refused
+from cyclamentally_calls.http_codec import Request, encode_request
+from cyclamentally_calls.outcomes import Answered, NotSent
+from cyclamentally_calls.peer_codec import (
+    LOAD_HEADER,
+    REFUSED_HEADER,
+    decode_load,
+    decode_refusal,
+    encode_ticket,
+)
+
+
+def with_headers(request, headers):
+    """Return a request with other headers."""
+    return Request(
+        request.method,
+        request.target,
+        headers,
+        request.body,
+        request.has_body,
+        keeps_open=True,
+    )
+
+
+def encode_offer(request, ticket):
+    """Return the bytes of a request with its `PeerTicket`."""
+    headers = [*request.headers, encode_ticket(ticket)]
+    return encode_request(
+        request.method, request.target, headers, request.body, request.has_body
+    )
+
+
+def decode_offer_result(result):
+    """Return the outcome (``Done`` or ``Refused``) and the `Load`, if named.
+
+    Parameters
+    ----------
+    result : Answered, NotSent or Lost
+        What came of sending the offer.
+    """
+    if isinstance(result, Answered):
+        answer = result.answer
+        load = decode_load(answer.find(LOAD_HEADER.lower()))
+        refused = answer.find(REFUSED_HEADER.lower())
+        return decode_refusal(refused) if refused else Done(answer), load
+    if isinstance(result, NotSent):
+        return Refused(Kind.UPSTREAM_UNREACHABLE, result.detail), None
+    kind = Kind.UPSTREAM_TIMEOUT if result.is_timeout else Kind.UPSTREAM_FAILED
+    return Refused(kind, result.detail), None
--- a/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
@@ -1,5 +1,7 @@
 """The task that owns callers' connections and offers their requests to gates."""
 
+from functools import partial
+
 from cyclamentally.budgets import ServiceBudget
 from cyclamentally.errors import Done, Kind, Refused
 from cyclamentally.forwarding import (
@@ -9,6 +11,7 @@
     time_over,
 )
 from cyclamentally.placing import pause_after
+from cyclamentally.routes import CallerLimits
 from cyclamentally_calls.call_events import (
     DrainBegun,
     HostFailed,
@@ -26,20 +29,19 @@
 )
 from cyclamentally_calls.calls import Call, call_facts, refusal_facts, request_id_of
 from cyclamentally_calls.client_connection import ConnectionPool, Sending
-from cyclamentally_calls.http_codec import Answer, Request, encode_request, forwarded
+from cyclamentally_calls.http_codec import Answer, forwarded
 from cyclamentally_calls.loop import Task
-from cyclamentally_calls.outcomes import Answered, NotSent
+from cyclamentally_calls.offer_codec import (
+    decode_offer_result,
+    encode_offer,
+    with_headers,
+)
+from cyclamentally_calls.outcomes import Answered
 from cyclamentally_calls.peer_codec import (
-    LOAD_HEADER,
     PEER_HEADERS,
-    REFUSED_HEADER,
     PeerTicket,
-    decode_load,
-    decode_refusal,
-    encode_ticket,
 )
 from cyclamentally_calls.server_connection import (
-    ConnectionLimits,
     RequestHandler,
     ServerConnection,
 )
@@ -47,7 +49,7 @@
 
 MS = 1_000
 # Before the first configuration; generous, since nothing is known yet.
-FIRST_LIMITS = ConnectionLimits(64 * 1024, 64 * 1024 * 1024, 5.0, 30.0)
+FIRST_LIMITS = CallerLimits(64 * 1024, 64 * 1024 * 1024, 5.0, 30.0)
 CONNECT_S = 0.25
 # A host that acknowledges nothing for this long is cut off or has no power.
 SILENCE_S = 0.8
@@ -83,7 +85,6 @@
     """
 
     __slots__ = (
-        "address",
         "budget_rule",
         "budgets",
         "by_exchange",
@@ -123,7 +124,6 @@
         log,
     ):
         self.loop = loop
-        self.address = address
         self.host = place.name
         self.peer_address = place.address
         self.service = service
@@ -166,8 +166,7 @@
                 self._take_outcome(call, message.outcome, message.load)
         elif isinstance(message, HostsReplaced):
             self.hosts = message.by_service
-            entries = [e for group in self.hosts.values() for e in group]
-            self.places.update(entries)
+            self.places.update(e for group in self.hosts.values() for e in group)
         elif isinstance(message, RoutesReplaced):
             self._replace_routes(message.table)
         elif isinstance(message, DrainBegun):
@@ -196,13 +195,12 @@
         if rule is None:
             self._refuse(exchange, Refused(Kind.NO_ROUTE, "no route"))
             return
-        now = self.loop.clock()
         service = self.turns.choose(rule)
         expires = exchange.arrived + allowed_time(request, rule, self.names)
         budget = self.budgets.get(service)
         if budget is None:
             budget = self.budgets[service] = ServiceBudget(self.budget_rule)
-        budget.note_first(now)
+        budget.note_first(self.loop.clock())
         self.number += 1
         life = Forwarding(self.number, rule, service, exchange.arrived, expires, budget)
         call = Call(
@@ -251,15 +249,10 @@
     def _replace_routes(self, table):
         self.table = table
         self.turns.forget()
-        limits = table.limits
-        self.limits = ConnectionLimits(
-            limits.header_bytes, limits.body_bytes, limits.header_s, limits.idle_s
-        )
+        self.limits = table.limits
         for connection in self.connections:
             connection.limits = self.limits
 
-    # Offers.
-
     def _place(self, call):
         """Offer a request to the upstream that should answer first."""
         life = call.life
@@ -293,53 +286,28 @@
             self.table.version,
         )
         if view.entry.name == self.host:
-            offered = Request(
-                request.method,
-                request.target,
-                call.headers,
-                request.body,
-                request.has_body,
-                True,
-            )
+            offered = with_headers(request, call.headers)
             self.loop.post(self.gate, Offer(life.number, self, ticket, offered))
             return
-        data = encode_request(
-            request.method,
-            request.target,
-            [*call.headers, encode_ticket(ticket)],
-            request.body,
-            request.has_body,
-        )
+        data = encode_offer(with_headers(request, call.headers), ticket)
         name = self.names.request_id.lower
         echo = (name, request.find(name)) if request.find(name) else None
-        call.sending = Sending(
-            data,
-            echo,
-            lambda result: self._take_peer_result(call, result),
-            request.method == b"HEAD",
-        )
+        on_outcome = partial(self._take_peer_result, call)
+        call.sending = Sending(data, echo, on_outcome, request.method == b"HEAD")
         self.pool.send(view.entry.address, call.sending, life.expires)
 
     def _take_peer_result(self, call, result):
         """Take in what another node's gate has answered, if it has."""
         call.sending = None
-        view = call.life.view
-        if isinstance(result, Answered):
-            answer = result.answer
-            load = decode_load(answer.find(LOAD_HEADER.lower()))
-            refused = answer.find(REFUSED_HEADER.lower())
-            outcome = decode_refusal(refused) if refused else Done(answer)
-            self._take_outcome(call, outcome, load)
-            return
+        if not isinstance(result, Answered):
+            self._doubt(call.life.view)
+        outcome, load = decode_offer_result(result)
+        self._take_outcome(call, outcome, load)
+
+    def _doubt(self, view):
+        """Leave out a host that has not answered, and forget it if it is unlisted."""
         view.fail(self.loop.clock())
         self.loop.post(self.store, HostFailed(view.entry.name))
-        if isinstance(result, NotSent):
-            outcome = Refused(Kind.UPSTREAM_UNREACHABLE, result.detail)
-        elif result.is_timeout:
-            outcome = Refused(Kind.UPSTREAM_TIMEOUT, result.detail)
-        else:
-            outcome = Refused(Kind.UPSTREAM_FAILED, result.detail)
-        self._take_outcome(call, outcome, None)
 
     def _take_outcome(self, call, outcome, load):
         life = call.life
@@ -377,9 +345,8 @@
             self._answer(call, self.refuse(call.exchange.request, refusal))
 
     def _finish(self, call, event, refusal):
-        now = self.loop.clock()
-        result = OfferResult(None, refusal, now, len(self.places.views))
-        call.life.fire(event, result)
+        nodes = len(self.places.views)
+        call.life.fire(event, OfferResult(None, refusal, self.loop.clock(), nodes))
         self._go_on(call)
 
     def _time_out(self, call):
@@ -390,6 +357,7 @@
             detail = f"{life.view.entry.upstream.name}: no answer in time"
             refusal = Refused(Kind.UPSTREAM_TIMEOUT, detail)
             self._withdraw(call)
+            self._doubt(life.view)
         self._finish(call, "time_over", refusal)
 
     def _answer(self, call, answer):
--- a/packages/cyclamentally-calls/cyclamentally_calls/server_connection.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/server_connection.py
@@ -42,26 +42,6 @@
         """Handle the end of a connection."""
 
 
-class ConnectionLimits:
-    """What a caller may send, and how slowly.
-
-    Parameters
-    ----------
-    header_bytes, body_bytes : int
-        Largest head and body.
-    header_s, idle_s : float
-        Longest time for a head and between requests, in seconds.
-    """
-
-    __slots__ = ("body_bytes", "header_bytes", "header_s", "idle_s")
-
-    def __init__(self, header_bytes, body_bytes, header_s, idle_s):
-        self.header_bytes = header_bytes
-        self.body_bytes = body_bytes
-        self.header_s = header_s
-        self.idle_s = idle_s
-
-
 class Exchange:
     """One request on a connection and, later, its answer.
 
@@ -104,7 +84,7 @@
         Accepted socket.
     handler : RequestHandler
         Task that answers.
-    limits : ConnectionLimits
+    limits : CallerLimits
         Bounds for the caller; read anew for each request.
     """
 
--- a/packages/cyclamentally-calls/cyclamentally_calls/tests/conftest.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/tests/conftest.py
@@ -3,11 +3,11 @@
 
 import pytest
 
+from cyclamentally.routes import CallerLimits
 from cyclamentally_calls.client_connection import ConnectionPool, Sending
 from cyclamentally_calls.http_codec import Answer
 from cyclamentally_calls.loop import Loop
 from cyclamentally_calls.server_connection import (
-    ConnectionLimits,
     RequestHandler,
     ServerConnection,
 )
@@ -80,7 +80,7 @@
 
 @pytest.fixture
 def limits():
-    return ConnectionLimits(1_000, 2_000, 0.3, 0.6)
+    return CallerLimits(1_000, 2_000, 0.3, 0.6)
 
 
 @pytest.fixture
