Keep requests near while the near upstream has room and is in time

An answer within its target is worth no more for that, and the bytes are paid for.

Change: the nearest upstream that has room (80% of its slots) and whose usual time fits the target 1.6 times is taken; the former rule serves the rest.

--- a/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
@@ -5,7 +5,7 @@
 from socket import socketpair
 
 from cyclamentally.gate import Gate
-from cyclamentally.placing import EarliestPlacement, Places
+from cyclamentally.placing import NearWithRoom, Places
 from cyclamentally.routes import WeightedTurns
 from cyclamentally_calls.call_events import DrainBegun
 from cyclamentally_calls.control_task import ControlTask
@@ -224,7 +224,7 @@
             place,
             settings.service,
             dialects.names,
-            Places(place.domain, place.region, EarliestPlacement(random)),
+            Places(place.domain, place.region, NearWithRoom(random)),
             WeightedTurns(random),
             settings.budget,
             self.counters,
--- a/packages/cyclamentally/cyclamentally/placing.py
+++ b/packages/cyclamentally/cyclamentally/placing.py
@@ -15,6 +15,10 @@
 REGION_COST_S = 0.004
 FAR_COST_S = 0.03
 DOWNLOAD_FACTOR = 5.0
+# An upstream has room up to this share of its slots; some slow down beyond.
+ROOM_SHARE = 0.8
+# The usual time has to fit the target this often, since times vary by a third.
+TARGET_MARGIN = 1.6
 # Choices within this of the best are alike; one of them is taken at random, so
 # that the nodes do not all turn to the same upstream.
 ALIKE_S = 0.004
@@ -128,8 +132,11 @@
         return self.random.choice(views)
 
 
-class EarliestPlacement(Placement):
-    """The upstream that is expected to answer first, distance included.
+class NearWithRoom(Placement):
+    """The nearest upstream with room; without any, the one that answers first.
+
+    An answer before its target is worth no more for being earlier, while each
+    byte between failure domains and regions is paid for.
 
     Parameters
     ----------
@@ -143,7 +150,11 @@
         self.random = random
 
     def choose(self, views, rule, now):
-        """Return one of the views with the least expected cost."""
+        """Return a near view with room, or one with the least expected cost."""
+        roomy = [view for view in views if self._has_room(view, rule, now)]
+        if roomy:
+            nearest = min(view.distance_s for view in roomy)
+            views = [view for view in roomy if view.distance_s == nearest]
         factor = DOWNLOAD_FACTOR if rule.kind.name == "DOWNLOAD" else 1.0
         costs = [
             view.finish_time(rule.name, now) + factor * view.distance_s
@@ -153,6 +164,12 @@
         alike = [v for v, cost in zip(views, costs, strict=True) if cost <= bound]
         return alike[0] if len(alike) == 1 else self.random.choice(alike)
 
+    def _has_room(self, view, rule, now):
+        if view.occupancy(now) + 1 > ROOM_SHARE * view.entry.upstream.slots:
+            return False
+        expected = view.finish_time(rule.name, now) + view.distance_s
+        return TARGET_MARGIN * expected <= rule.target_s
+
 
 class Places:
     """The views of all upstreams, kept up with the directory.
--- a/packages/cyclamentally/cyclamentally/tests/test_hosts.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_hosts.py
@@ -3,7 +3,7 @@
 import pytest
 
 from cyclamentally.hosts import UNLISTED_S, HostDirectory, HostEntry, UpstreamEntry
-from cyclamentally.placing import EarliestPlacement, Places
+from cyclamentally.placing import NearWithRoom, Places
 from cyclamentally.routes import (
     CallerLimits,
     Destination,
@@ -72,7 +72,7 @@
 
 
 def test_the_nearest_upstream_is_chosen_while_it_has_room():
-    places = Places("d1", "r1", EarliestPlacement(Random(1)))
+    places = Places("d1", "r1", NearWithRoom(Random(1)))
     entries = [entry("near"), entry("far", "d9", "r9"), entry("mid", "d2")]
     places.update(entries)
     chosen = places.choose(entries, rule(), set(), 0.0)
@@ -81,8 +81,19 @@
     assert places.choose(entries, rule(), set(), 0.0).entry.name == "mid"
 
 
+def test_a_faster_upstream_far_away_is_left_while_the_near_one_is_in_time():
+    places = Places("d1", "r1", NearWithRoom(Random(1)))
+    entries = [entry("near"), entry("far", "d9", "r9")]
+    places.update(entries)
+    places.views["near"].times["r"] = 0.15
+    places.views["far"].times["r"] = 0.03
+    assert places.choose(entries, rule(), set(), 0.0).entry.name == "near"
+    places.views["near"].times["r"] = 0.25
+    assert places.choose(entries, rule(), set(), 0.0).entry.name == "far"
+
+
 def test_a_paused_upstream_is_used_if_there_is_no_other():
-    places = Places("d1", "r1", EarliestPlacement(Random(1)))
+    places = Places("d1", "r1", NearWithRoom(Random(1)))
     entries = [entry("near"), entry("mid", "d2")]
     places.update(entries)
     places.views["near"].fail(0.0)
@@ -91,7 +102,7 @@
 
 
 def test_a_paused_upstream_is_no_second_choice():
-    places = Places("d1", "r1", EarliestPlacement(Random(1)))
+    places = Places("d1", "r1", NearWithRoom(Random(1)))
     entries = [entry("near"), entry("mid", "d2")]
     places.update(entries)
     places.views["mid"].pause(0.0, 1.0)
@@ -99,7 +110,7 @@
 
 
 def test_a_tried_upstream_is_not_chosen_again():
-    places = Places("d1", "r1", EarliestPlacement(Random(1)))
+    places = Places("d1", "r1", NearWithRoom(Random(1)))
     entries = [entry("near")]
     places.update(entries)
     assert places.choose(entries, rule(), {"u-near"}, 0.0) is None
