--- a/packages/cyclamentally-calls/cyclamentally_calls/calls.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/calls.py
@@ -16,12 +16,13 @@
         Headers that the upstream gets.
     """
 
-    __slots__ = ("exchange", "headers", "life", "sending", "timer")
+    __slots__ = ("exchange", "headers", "life", "offered_at", "sending", "timer")
 
     def __init__(self, exchange, life, headers):
         self.exchange = exchange
         self.life = life
         self.headers = headers
+        self.offered_at = 0.0
         self.sending = None
         self.timer = None
 
--- a/packages/cyclamentally-calls/cyclamentally_calls/control_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/control_task.py
@@ -75,6 +75,8 @@
         Receiver of `Heard`; owner of the gate whose lifetimes are continued.
     counters : Counters
         Counts.
+    log : DecisionLog
+        Log.
     """
 
     __slots__ = (
@@ -85,22 +87,24 @@
         "has_hosts",
         "has_routes",
         "is_stopping",
-        "last",
         "listeners",
+        "log",
         "loop",
     )
 
-    def __init__(self, loop, addresses, dialect, gate, counters):
+    def __init__(self, loop, addresses, dialect, gate, counters, log):
         self.loop = loop
         self.dialect = dialect
         self.gate = gate
         self.counters = counters
-        self.listeners = [Listener(loop, a, self._accept) for a in addresses]
+        self.log = log
+        self.listeners = [
+            Listener(loop, a, self._accept, log.listener_failed) for a in addresses
+        ]
         self.connections = set()
         self.has_routes = False
         self.has_hosts = False
         self.is_stopping = False
-        self.last = None
 
     def start(self):
         """Listen."""
--- a/packages/cyclamentally-calls/cyclamentally_calls/decision_log.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/decision_log.py
@@ -75,6 +75,10 @@
         self.buffer += encode(line)
         self.buffer += b"\n"
 
+    def listener_failed(self, address, reason):
+        """Log that a listening socket could not accept a connection."""
+        self.write("accept_failed", address=address, detail=reason)
+
     def _flush_later(self):
         self.allowed = min(LINES_PER_S, self.allowed + LINES_PER_S * FLUSH_S)
         self._flush()
--- a/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
@@ -114,7 +114,7 @@
         self.store = store
         self.counters = counters
         self.log = log
-        self.listener = Listener(loop, address, self._accept)
+        self.listener = Listener(loop, address, self._accept, log.listener_failed)
         self.pool = ConnectionPool(loop, IDLE_S, CONNECT_S, 0.0)
         self.connections = set()
         self.works = {}
@@ -164,8 +164,8 @@
             self._begin_drain()
 
     def is_idle(self):
-        """Whether no request is at the gate."""
-        return not self.works
+        """Whether no request is at the gate and no answer is unsent."""
+        return not self.works and not any(c.has_unsent() for c in self.connections)
 
     # Requests of other nodes.
 
--- a/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
@@ -172,7 +172,12 @@
         )
         self.outbound = self._make_outbound(dialects, random)
         self.control = ControlTask(
-            self.loop, settings.control, dialects.control, self.gate, self.counters
+            self.loop,
+            settings.control,
+            dialects.control,
+            self.gate,
+            self.counters,
+            self.log,
         )
         self.store.listeners = [self.outbound, self.gate, self.control]
 
--- a/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
@@ -133,7 +133,7 @@
         self.budget_rule = budget_rule
         self.counters = counters
         self.log = log
-        self.listener = Listener(loop, address, self._accept)
+        self.listener = Listener(loop, address, self._accept, log.listener_failed)
         self.pool = ConnectionPool(loop, PEER_IDLE_S, CONNECT_S, SILENCE_S)
         self.connections = set()
         self.limits = FIRST_LIMITS
@@ -173,8 +173,8 @@
             self.is_stopping = True
 
     def is_idle(self):
-        """Whether no caller waits for an answer."""
-        return not self.calls
+        """Whether no caller waits for an answer or for the rest of one."""
+        return not self.calls and not any(c.has_unsent() for c in self.connections)
 
     def end_connections(self):
         """Take no new connection and end those that wait for a request."""
@@ -269,6 +269,7 @@
         life.fire("offered", view)
         view.in_flight += 1
         view.sent_since += 1
+        call.offered_at = now
         self._offer(call, view, now)
 
     def _offer(self, call, view, now):
@@ -357,7 +358,8 @@
             detail = f"{life.view.entry.upstream.name}: no answer in time"
             refusal = Refused(Kind.UPSTREAM_TIMEOUT, detail)
             self._withdraw(call)
-            self._doubt(life.view)
+            if life.view.is_silent_since(call.offered_at):
+                self._doubt(life.view)
         self._finish(call, "time_over", refusal)
 
     def _answer(self, call, answer):
--- a/packages/cyclamentally-calls/cyclamentally_calls/server_connection.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/server_connection.py
@@ -144,6 +144,10 @@
         """Answer what has been read, then end the connection."""
         self.fire("drain")
 
+    def has_unsent(self):
+        """Whether a part of an answer still has to go out."""
+        return self.stream.is_open and bool(self.stream.unsent)
+
     def on_connected(self):
         """Ignore: accepted sockets are connected."""
 
--- a/packages/cyclamentally-calls/cyclamentally_calls/stream.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/stream.py
@@ -25,6 +25,8 @@
 READ_BYTES = 65_536
 # Callers of a whole failure domain may open connections at the same moment.
 BACKLOG = 512
+# Without a free descriptor; the kernel's queue holds callers for that long.
+ACCEPT_PAUSE_S = 0.1
 # Bounds a peer's silence on an idle connection to 1 + 2 x 1 s.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_GAP_S = 1
@@ -207,14 +209,17 @@
         ``IP:port``.
     on_socket : callable
         Takes each accepted socket.
+    on_failure : callable
+        Takes the address and the reason when no connection can be accepted.
     """
 
-    __slots__ = ("address", "loop", "on_socket", "socket")
+    __slots__ = ("address", "loop", "on_failure", "on_socket", "socket")
 
-    def __init__(self, loop, address, on_socket):
+    def __init__(self, loop, address, on_socket, on_failure):
         self.loop = loop
         self.address = address
         self.on_socket = on_socket
+        self.on_failure = on_failure
         self.socket = None
 
     @property
@@ -244,13 +249,23 @@
                 connection, _ = self.socket.accept()
             except BlockingIOError:
                 return
-            except OSError:
-                # The peer has gone, or no descriptor is free: callers try again.
+            except OSError as error:
+                self._pause(str(error))
                 return
             connection.setblocking(False)
             connection.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
             self.on_socket(connection)
 
+    def _pause(self, reason):
+        """Wait before the next try: a listener that fails stays readable."""
+        self.on_failure(self.address, reason)
+        self.loop.forget(self.socket.fileno())
+        self.loop.call_after(ACCEPT_PAUSE_S, self._resume)
+
+    def _resume(self):
+        if self.socket is not None:
+            self.loop.watch(self.socket.fileno(), EPOLLIN, self._accept)
+
 
 def connect(loop, address, owner):
     """Return a `Stream` that is being connected to ``IP:port``."""
--- a/packages/cyclamentally-calls/cyclamentally_calls/tests/conftest.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/tests/conftest.py
@@ -91,6 +91,7 @@
         loop,
         "127.0.0.1:0",
         lambda s: accepted.append(ServerConnection(loop, s, handler, limits)),
+        lambda address, reason: None,
     )
     listener.start()
     client = create_connection(("127.0.0.1", listener.port), timeout=WAIT_S)
--- a/packages/cyclamentally/cyclamentally/forwarding.py
+++ b/packages/cyclamentally/cyclamentally/forwarding.py
@@ -159,7 +159,6 @@
     def refuse(self, result):
         """Settle on the reason that the caller is given."""
         self._keep(result.refusal)
-        return [Count("requests_refused_total", self.refusal.kind)]
 
     def final_refusal(self):
         """Return the `Refused` for the caller, with the wait until a retry."""
--- a/packages/cyclamentally/cyclamentally/gate.py
+++ b/packages/cyclamentally/cyclamentally/gate.py
@@ -13,6 +13,7 @@
     RefuseWork,
     Running,
     StartWork,
+    UpstreamEnded,
 )
 
 # Time of a request on a route of which nothing is known yet, in seconds.
@@ -21,14 +22,18 @@
 # Bounds the memory of service times; configurations have up to 2,000 routes.
 MAX_KNOWN_ROUTES = 256
 # A request counts as able to meet its target or deadline if this multiple of
-# its usual time is left. At 0.6 a third of all work on the heaviest day was cut
-# off unfinished (bb31d1fe); at 1.0 half of the work started at the edge of the
-# target missed it (5d177d20).
+# its usual time is left. At 0.6, 37% of the runs of one service ended badly on
+# the heaviest day (bb31d1fe); at 1.0 for the target, a third of the lookups of a
+# short service were late (5d177d20), with 1.3 for it fewer (ec313bdf).
 NEEDED_SHARE_OF_SERVICE = 1.3
 # Requests that will miss their target may wait, up to this share of the slots;
 # they get the slots that the others leave over.
 LATE_SHARE_OF_SLOTS = 0.5
+# Shorter waits would have a caller ask again before anything has changed.
 LEAST_WAIT_S = 0.02
+# Heartbeats may come seconds late; afterwards one of an ended upstream's name is
+# of a new lifetime, even if this host's clock was ahead at the end.
+LATE_HEARTBEAT_S = 10.0
 
 
 @runs_chart("gate")
@@ -36,6 +41,8 @@
     """Decide which requests the upstream gets and when; runs ``gate``."""
 
     __slots__ = (
+        "ended",
+        "ended_until",
         "heard_at",
         "heartbeat",
         "running",
@@ -47,6 +54,8 @@
     def __init__(self):
         self.state = self.chart.initial
         self.heartbeat = None
+        self.ended = None
+        self.ended_until = 0.0
         self.heard_at = 0.0
         self.waiting = []
         self.running = {}
@@ -63,6 +72,13 @@
             return heartbeat.started_ms > present.started_ms
         return heartbeat.upstream != present.upstream
 
+    def is_after_end(self, heartbeat):
+        """Whether a heartbeat is not a late one of an upstream that has ended."""
+        ended = self.ended
+        if ended is None or ended.upstream != heartbeat.upstream:
+            return True
+        return heartbeat.started_ms > ended.said_ms
+
     def is_same_lifetime(self, heartbeat):
         """Whether a heartbeat speaks of the present lifetime."""
         present = self.heartbeat
@@ -96,6 +112,8 @@
 
     def hear(self, heartbeat, now):
         """Take in a heartbeat; returns effects."""
+        if now >= self.ended_until:
+            self.ended = None
         event = "leaving" if heartbeat.is_leaving else "ready"
         known = self.heartbeat
         if known is None or not known.started_ms > heartbeat.started_ms:
@@ -117,8 +135,9 @@
         known = self.heartbeat
         if known is None:
             # Kept so that a late heartbeat does not open the gate again.
-            last = Heartbeat(upstream, "", "", said_ms, 0, 1, 0.0, True)
-            return self.hear(last, now)
+            self.ended = UpstreamEnded(upstream, said_ms)
+            self.ended_until = now + LATE_HEARTBEAT_S
+            return []
         if known.upstream != upstream:
             return []
         last = Heartbeat(
@@ -191,8 +210,7 @@
         present = self.heartbeat
         if present is None or self.state == "empty":
             return Refused(Kind.UPSTREAM_LEFT, "no upstream is known here")
-        is_meant = ticket.upstream in ("", present.upstream)
-        if not is_meant or ticket.service != present.service:
+        if ticket.upstream != present.upstream or ticket.service != present.service:
             return Refused(Kind.UPSTREAM_LEFT, f"{present.upstream} is here now")
         if self.state == "left":
             return Refused(Kind.UPSTREAM_LEFT, "the upstream leaves")
--- a/packages/cyclamentally/cyclamentally/placing.py
+++ b/packages/cyclamentally/cyclamentally/placing.py
@@ -92,6 +92,10 @@
         """Leave the upstream out for a while that its gate has named."""
         self.paused_until = max(self.paused_until, now + delay)
 
+    def is_silent_since(self, moment):
+        """Whether the host has answered nothing since a moment."""
+        return self.reported_at < moment
+
     def occupancy(self, now):
         """Return the expected number of requests at the upstream."""
         if self.load is None:
--- a/packages/cyclamentally/cyclamentally/tests/test_hosts.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_hosts.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from cyclamentally.gate_messages import Load
 from cyclamentally.hosts import UNLISTED_S, HostDirectory, HostEntry, UpstreamEntry
 from cyclamentally.placing import NearWithRoom, Places
 from cyclamentally.routes import (
@@ -109,6 +110,16 @@
     assert places.choose(entries, rule(), {"u-near"}, 0.1) is None
 
 
+def test_a_host_that_answered_since_is_not_silent():
+    places = Places("d1", "r1", NearWithRoom(Random(1)))
+    places.update([entry("near")])
+    view = places.views["near"]
+    assert view.is_silent_since(1.0)
+    view.report(Load(0, 0, 2, 0.1), "r", 1.5)
+    assert not view.is_silent_since(1.0)
+    assert view.is_silent_since(2.0)
+
+
 def test_a_tried_upstream_is_not_chosen_again():
     places = Places("d1", "r1", NearWithRoom(Random(1)))
     entries = [entry("near")]
