--- a/packages/cyclamentally-calls/cyclamentally_calls/call_events.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/call_events.py
@@ -36,19 +36,19 @@
         self.name = name
 
 
-class Heard(Record):
-    """The upstream beside this node has sent word.
+class UpstreamReported(Record):
+    """The upstream beside this node has sent a report.
 
     Parameters
     ----------
-    said : Heartbeat or UpstreamEnded
-        What it says.
+    report : Heartbeat or UpstreamEnded
+        What it reports.
     """
 
-    __slots__ = ("said",)
+    __slots__ = ("report",)
 
-    def __init__(self, said):
-        self.said = said
+    def __init__(self, report):
+        self.report = report
 
 
 class UpstreamChanged(Record):
@@ -166,6 +166,51 @@
         self.body = body
 
 
+class ServiceChanged(Record):
+    """The settings name another service beside this node.
+
+    Parameters
+    ----------
+    service : str
+        The service.
+    """
+
+    __slots__ = ("service",)
+
+    def __init__(self, service):
+        self.service = service
+
+
+class CallersLeft(Record):
+    """Callers go elsewhere by now: end connections without a request."""
+
+    __slots__ = ()
+
+
+class IdleAsked(Record):
+    """Whether a task carries requests is asked.
+
+    Parameters
+    ----------
+    sender : Task
+        Receiver of `IdleFound`.
+    """
+
+    __slots__ = ("sender",)
+
+    def __init__(self, sender):
+        self.sender = sender
+
+
+class IdleFound(Record):
+    """Whether a task carries no request and has no answer left to send."""
+
+    __slots__ = ("is_idle",)
+
+    def __init__(self, is_idle):
+        self.is_idle = is_idle
+
+
 class DrainBegun(Record):
     """The node is to end: finish what has begun, take nothing new later."""
 
--- a/packages/cyclamentally-calls/cyclamentally_calls/control_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/control_task.py
@@ -3,13 +3,14 @@
 from abc import ABC, abstractmethod
 
 from cyclamentally.errors import Kind, Refused
+from cyclamentally.readiness import Readiness
 from cyclamentally.records import Record
 from cyclamentally.routes import CallerLimits
 from cyclamentally_calls.call_events import (
     DrainBegun,
-    Heard,
     HostsReplaced,
     RoutesReplaced,
+    UpstreamReported,
 )
 from cyclamentally_calls.http_codec import Answer
 from cyclamentally_calls.loop import Task
@@ -19,6 +20,12 @@
 )
 from cyclamentally_calls.stream import Listener
 
+READINESS_EVENTS = {
+    RoutesReplaced: "routes_known",
+    HostsReplaced: "hosts_known",
+    DrainBegun: "stop",
+}
+# Heartbeats have some 300 bytes; their senders keep connections open.
 LIMITS = CallerLimits(16 * 1024, 64 * 1024, 5.0, 60.0)
 HTTP_OK = 200
 HTTP_UNAVAILABLE = 503
@@ -36,10 +43,19 @@
     __slots__ = ()
 
 
-class NothingUsable(Record):
-    """A heartbeat that names no upstream to use; it is only acknowledged."""
+class UnusableHeartbeat(Record):
+    """A heartbeat that names no upstream to use; it is only acknowledged.
 
-    __slots__ = ()
+    Parameters
+    ----------
+    detail : str
+        What is wrong with it.
+    """
+
+    __slots__ = ("detail",)
+
+    def __init__(self, detail):
+        self.detail = detail
 
 
 class ControlDialect(ABC):
@@ -49,10 +65,10 @@
 
     @abstractmethod
     def decode(self, request):
-        """Return what a request says, or ``Refused``.
+        """Return what a request means, or ``Refused``.
 
         One of `ReadinessAsked`, `MetricsAsked`, `Heartbeat`, `UpstreamEnded`,
-        `NothingUsable`.
+        `UnusableHeartbeat`.
         """
 
     @abstractmethod
@@ -72,7 +88,7 @@
     dialect : ControlDialect
         Decoding of requests.
     gate : GateTask
-        Receiver of `Heard`; owner of the gate whose lifetimes are continued.
+        Receiver of `UpstreamReported`.
     counters : Counters
         Counts.
     log : DecisionLog
@@ -84,12 +100,10 @@
         "counters",
         "dialect",
         "gate",
-        "has_hosts",
-        "has_routes",
-        "is_stopping",
         "listeners",
         "log",
         "loop",
+        "readiness",
     )
 
     def __init__(self, loop, addresses, dialect, gate, counters, log):
@@ -102,9 +116,7 @@
             Listener(loop, a, self._accept, log.listener_failed) for a in addresses
         ]
         self.connections = set()
-        self.has_routes = False
-        self.has_hosts = False
-        self.is_stopping = False
+        self.readiness = Readiness()
 
     def start(self):
         """Listen."""
@@ -120,25 +132,22 @@
 
     def receive(self, message):
         """Note what readiness depends on."""
-        if isinstance(message, RoutesReplaced):
-            self.has_routes = True
-        elif isinstance(message, HostsReplaced):
-            self.has_hosts = True
-        elif isinstance(message, DrainBegun):
-            self.is_stopping = True
+        event = READINESS_EVENTS.get(type(message))
+        if event is not None:
+            self.readiness.fire(event)
 
     def on_request(self, exchange):
         """Answer a request."""
-        said = self.dialect.decode(exchange.request)
-        if isinstance(said, Refused):
-            exchange.answer(self.refuse(exchange.request, said))
-        elif isinstance(said, ReadinessAsked):
+        meaning = self.dialect.decode(exchange.request)
+        if isinstance(meaning, Refused):
+            exchange.answer(self.refuse(exchange.request, meaning))
+        elif isinstance(meaning, ReadinessAsked):
             exchange.answer(self._readiness())
-        elif isinstance(said, MetricsAsked):
+        elif isinstance(meaning, MetricsAsked):
             headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
             exchange.answer(Answer(HTTP_OK, headers, self.counters.render()))
         else:
-            self._hear(said)
+            self._pass_on(meaning)
             headers = [(b"Content-Type", b"application/json")]
             body = self.dialect.acknowledgement()
             exchange.answer(Answer(HTTP_OK, headers, body))
@@ -165,11 +174,12 @@
         self.connections.add(connection)
 
     def _readiness(self):
-        is_ready = self.has_routes and self.has_hosts and not self.is_stopping
-        return Answer(HTTP_OK if is_ready else HTTP_UNAVAILABLE, [], b"")
+        status = HTTP_OK if self.readiness.is_ready else HTTP_UNAVAILABLE
+        return Answer(status, [], b"")
 
-    def _hear(self, said):
-        if isinstance(said, NothingUsable):
+    def _pass_on(self, report):
+        if isinstance(report, UnusableHeartbeat):
             self.counters.add("heartbeats_ignored_total", Kind.MESSAGE_MALFORMED)
+            self.log.write("heartbeat_ignored", detail=report.detail)
             return
-        self.loop.post(self.gate, Heard(said))
+        self.loop.post(self.gate, UpstreamReported(report))
--- a/packages/cyclamentally-calls/cyclamentally_calls/entry_codec.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/entry_codec.py
@@ -6,7 +6,7 @@
 from cyclamentally.hosts import HostEntry, UpstreamEntry
 
 HOST_FIELDS = (str, str, str, str, list)
-UPSTREAM_FIELDS = (str, str, int, int, (int, float), bool)
+UPSTREAM_FIELDS = (str, str, int, bool)
 
 
 def encode_entry(entry):
--- a/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
@@ -1,5 +1,7 @@
 """The task that owns the connections to the upstream beside this node."""
 
+from time import time
+
 from cyclamentally.effects import Count, StateChanged
 from cyclamentally.errors import Done, Kind, Refused
 from cyclamentally.gate_messages import (
@@ -9,18 +11,21 @@
     Ticket,
     UpstreamEnded,
 )
-from cyclamentally.hosts import UpstreamEntry
+from cyclamentally.publication import Publication
 from cyclamentally.routes import CallerLimits
 from cyclamentally_calls.call_events import (
     DrainBegun,
-    Heard,
+    IdleAsked,
+    IdleFound,
     NewerKnown,
     Offer,
     OfferWithdrawn,
     RoutesReplaced,
+    ServiceChanged,
     StateAsked,
     StateFound,
     UpstreamChanged,
+    UpstreamReported,
 )
 from cyclamentally_calls.client_connection import ConnectionPool, Sending
 from cyclamentally_calls.http_codec import Answer, encode_request
@@ -57,8 +62,6 @@
 PEER_LIMITS = CallerLimits(128 * 1024, 256 * 1024 * 1024, 5.0, 60.0)
 HTTP_OK = 200
 HTTP_UNAVAILABLE = 503
-FIRST_REDIRECT = 300
-MISDIRECTED = 421
 
 
 class GateTask(Task, RequestHandler):
@@ -72,7 +75,7 @@
         ``IP:port`` for other nodes.
     gate : Gate
         Decisions.
-    neighbour : Neighbour
+    local_upstream : LocalUpstream
         The upstream.
     names : HeaderNames
         Headers shared with upstreams.
@@ -90,27 +93,27 @@
         "connections",
         "counters",
         "gate",
-        "is_stopping",
         "listener",
         "log",
         "loop",
         "names",
-        "neighbour",
+        "local_upstream",
         "number",
         "pool",
-        "published",
-        "services",
+        "publication",
         "store",
         "timer",
         "version",
         "works",
     )
 
-    def __init__(self, loop, address, gate, neighbour, names, store, counters, log):
+    def __init__(
+        self, loop, address, gate, local_upstream, names, store, counters, log
+    ):
         self.loop = loop
         self.gate = gate
         self.names = names
-        self.neighbour = neighbour
+        self.local_upstream = local_upstream
         self.store = store
         self.counters = counters
         self.log = log
@@ -121,10 +124,8 @@
         self.by_exchange = {}
         self.by_offer = {}
         self.number = 0
-        self.published = None
-        self.services = {}
+        self.publication = Publication()
         self.version = 0
-        self.is_stopping = False
         self.timer = None
 
     def start(self):
@@ -149,23 +150,20 @@
                 self.by_offer[message.number] = work
         elif isinstance(message, OfferWithdrawn):
             self._withdraw(self.by_offer.pop(message.number, None))
-        elif isinstance(message, Heard):
-            self._hear(message.said)
+        elif isinstance(message, UpstreamReported):
+            self._hear(message.report)
         elif isinstance(message, RoutesReplaced):
-            is_first = not self.services
-            self.version = message.table.version
-            self.services = message.table.services
-            if is_first:
-                self._ask_neighbour()
+            self._learn_routes(message.table)
         elif isinstance(message, StateFound):
             status = HTTP_OK if message.body else HTTP_UNAVAILABLE
             message.exchange.answer(Answer(status, [], message.body))
+        elif isinstance(message, ServiceChanged):
+            self.local_upstream.service = message.service
+        elif isinstance(message, IdleAsked):
+            unsent = any(c.has_unsent() for c in self.connections)
+            self.loop.post(message.sender, IdleFound(not self.works and not unsent))
         elif isinstance(message, DrainBegun):
-            self._begin_drain()
-
-    def is_idle(self):
-        """Whether no request is at the gate and no answer is unsent."""
-        return not self.works and not any(c.has_unsent() for c in self.connections)
+            self._carry_out(self.gate.stop())
 
     # Requests of other nodes.
 
@@ -223,15 +221,7 @@
         )
         work = Work(origin, request, ticket)
         self.works[ticket.number] = work
-        if self.is_stopping:
-            refusal = Refused(Kind.STOPPING, "this node is stopping")
-            self._carry_out([RefuseWork(ticket.number, refusal)])
-        elif not self.services:
-            # Calls that the upstream makes for the request would have no route.
-            refusal = Refused(Kind.NOT_READY, "no configuration has been read yet")
-            self._carry_out([RefuseWork(ticket.number, refusal)])
-        else:
-            self._carry_out(self.gate.admit(ticket, now))
+        self._carry_out(self.gate.admit(ticket, now))
         return work if ticket.number in self.works else None
 
     def _withdraw(self, work):
@@ -245,16 +235,21 @@
         effects = self.gate.finish(work.ticket.number, False, self.loop.clock())
         self._carry_out(effects)
 
-    def _ask_neighbour(self):
+    def _learn_routes(self, table):
+        self.version = table.version
+        if not self.gate.has_routes:
+            self.gate.learn_routes()
+            self._check_liveness(table.services.get(self.local_upstream.service))
+
+    def _check_liveness(self, rule):
         """Ask the upstream who it is, once, rather than await its heartbeat.
 
         A node that was restarted is of use a heartbeat earlier. An upstream
-        that leaves does not answer with a success.
+        that is draining does not answer with a success.
         """
-        rule = self.services.get(self.neighbour.service)
-        if rule is None or self.gate.state != "empty":
+        if rule is None:
             return
-        address = self.neighbour.address
+        address = self.local_upstream.address
         path = rule.health_path.encode()
         headers = [(b"Host", address.encode())]
         data = encode_request(b"GET", path, headers, b"", False)
@@ -264,22 +259,28 @@
 
     def _take_identity(self, result):
         if not isinstance(result, Answered) or result.answer.status != HTTP_OK:
+            detail = getattr(result, "detail", "not a success")
+            self.log.write("liveness_check_failed", detail=detail)
             return
         name = result.answer.find(self.names.upstream_name.lower).decode("latin-1")
         load = result.answer.find(self.names.upstream_load.lower).split(b",")
-        if self.gate.state != "empty" or not name or not load[-1].strip().isdigit():
+        if not name or not load[-1].strip().isdigit():
+            self.log.write("liveness_check_failed", detail="no identity or load")
             return
         slots = max(1, int(load[-1]))
-        n = self.neighbour
-        self._hear(Heartbeat(name, n.service, n.address, 0, 0, slots, 0.0, False))
+        local = self.local_upstream
+        found = Heartbeat(name, local.service, local.address, 0, 0, slots, False)
+        self._carry_out(self.gate.identify(found, self.loop.clock()))
+        self._publish()
 
-    def _hear(self, said):
+    def _hear(self, report):
         before = self.gate.heartbeat
         now = self.loop.clock()
-        if isinstance(said, UpstreamEnded):
-            self._carry_out(self.gate.end(said.upstream, said.said_ms, now))
+        if isinstance(report, UpstreamEnded):
+            wall_ms = int(time() * MS)
+            self._carry_out(self.gate.end(report.upstream, wall_ms, now))
         else:
-            self._carry_out(self.gate.hear(said, now))
+            self._carry_out(self.gate.hear(report, now))
         known = self.gate.heartbeat
         if before is not None and before.upstream != known.upstream:
             self.pool.close_idle(before.address)
@@ -287,30 +288,9 @@
 
     def _publish(self):
         """Tell the other nodes what this upstream is, if that changed."""
-        heartbeat = self.gate.heartbeat
-        if heartbeat is None or self.is_stopping:
-            return
-        is_open = self.gate.state == "open"
-        identity = (
-            heartbeat.upstream,
-            heartbeat.service,
-            heartbeat.slots,
-            is_open,
-        )
-        if identity == self.published:
-            return
-        if self.published is None and not is_open:
-            return
-        self.published = identity
-        entry = UpstreamEntry(
-            heartbeat.upstream,
-            heartbeat.service,
-            heartbeat.started_ms,
-            heartbeat.slots,
-            heartbeat.cold_s,
-            not is_open,
-        )
-        self.loop.post(self.store, UpstreamChanged(entry))
+        entry = self.publication.update(self.gate)
+        if entry is not None:
+            self.loop.post(self.store, UpstreamChanged(entry))
 
     def _carry_out(self, effects):
         for effect in effects:
@@ -381,15 +361,11 @@
         else:
             self.by_offer.pop(origin.number, None)
 
-    def _begin_drain(self):
-        self.is_stopping = True
-        self._carry_out(self.gate.refuse_waiting(None))
-
     def _tick(self):
         now = self.loop.clock()
         silence = now - self.gate.heard_at
         if self.gate.state == "open":
-            if silence > MISSED_HEARTBEATS * self.neighbour.heartbeat_s:
+            if silence > MISSED_HEARTBEATS * self.local_upstream.heartbeat_s:
                 self._lose("silent")
             self._carry_out(self.gate.tick(now))
         pause = BUSY_TICK_S if self.gate.waiting else CALM_TICK_S
--- a/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
@@ -13,13 +13,16 @@
 from cyclamentally.placing import pause_after
 from cyclamentally.routes import CallerLimits
 from cyclamentally_calls.call_events import (
-    DrainBegun,
+    CallersLeft,
     HostFailed,
     HostsReplaced,
+    IdleAsked,
+    IdleFound,
     Offer,
     OfferDone,
     OfferWithdrawn,
     RoutesReplaced,
+    ServiceChanged,
 )
 from cyclamentally_calls.caller_codec import (
     allowed_time,
@@ -47,12 +50,13 @@
 )
 from cyclamentally_calls.stream import Listener
 
-MS = 1_000
 # Before the first configuration; generous, since nothing is known yet.
 FIRST_LIMITS = CallerLimits(64 * 1024, 64 * 1024 * 1024, 5.0, 30.0)
+# Longest round trip between regions (17 ms) with one lost opening packet.
 CONNECT_S = 0.25
 # A host that acknowledges nothing for this long is cut off or has no power.
 SILENCE_S = 0.8
+# Half of the time after which nodes close idle connections of other nodes.
 PEER_IDLE_S = 30.0
 FAILURE_STATUS = 500
 
@@ -72,9 +76,9 @@
         Service beside this node, named to upstreams as the caller.
     names : HeaderNames
         Headers shared with callers and upstreams.
-    places : Places
+    upstreams : UpstreamViews
         Choice of upstreams.
-    turns : WeightedTurns
+    round_robin : WeightedRoundRobin
         Choice of services.
     budget_rule : BudgetRule
         Bound of repeats.
@@ -94,7 +98,6 @@
         "gate",
         "host",
         "hosts",
-        "is_stopping",
         "limits",
         "listener",
         "log",
@@ -102,12 +105,12 @@
         "names",
         "number",
         "peer_address",
-        "places",
+        "upstreams",
         "pool",
         "service",
         "store",
         "table",
-        "turns",
+        "round_robin",
     )
 
     def __init__(
@@ -117,8 +120,8 @@
         place,
         service,
         names,
-        places,
-        turns,
+        upstreams,
+        round_robin,
         budget_rule,
         counters,
         log,
@@ -128,8 +131,8 @@
         self.peer_address = place.address
         self.service = service
         self.names = names
-        self.places = places
-        self.turns = turns
+        self.upstreams = upstreams
+        self.round_robin = round_robin
         self.budget_rule = budget_rule
         self.counters = counters
         self.log = log
@@ -143,7 +146,6 @@
         self.calls = {}
         self.by_exchange = {}
         self.number = 0
-        self.is_stopping = False
         self.gate = None
         self.store = None
 
@@ -166,21 +168,18 @@
                 self._take_outcome(call, message.outcome, message.load)
         elif isinstance(message, HostsReplaced):
             self.hosts = message.by_service
-            self.places.update(e for group in self.hosts.values() for e in group)
+            self.upstreams.update(e for group in self.hosts.values() for e in group)
         elif isinstance(message, RoutesReplaced):
             self._replace_routes(message.table)
-        elif isinstance(message, DrainBegun):
-            self.is_stopping = True
-
-    def is_idle(self):
-        """Whether no caller waits for an answer or for the rest of one."""
-        return not self.calls and not any(c.has_unsent() for c in self.connections)
-
-    def end_connections(self):
-        """Take no new connection and end those that wait for a request."""
-        self.listener.close()
-        for connection in list(self.connections):
-            connection.drain()
+        elif isinstance(message, ServiceChanged):
+            self.service = message.service
+        elif isinstance(message, CallersLeft):
+            self.listener.close()
+            for connection in list(self.connections):
+                connection.drain()
+        elif isinstance(message, IdleAsked):
+            unsent = any(c.has_unsent() for c in self.connections)
+            self.loop.post(message.sender, IdleFound(not self.calls and not unsent))
 
     # Requests of callers.
 
@@ -195,7 +194,7 @@
         if rule is None:
             self._refuse(exchange, Refused(Kind.NO_ROUTE, "no route"))
             return
-        service = self.turns.choose(rule)
+        service = self.round_robin.choose(rule)
         expires = exchange.arrived + allowed_time(request, rule, self.names)
         budget = self.budgets.get(service)
         if budget is None:
@@ -248,7 +247,7 @@
 
     def _replace_routes(self, table):
         self.table = table
-        self.turns.forget()
+        self.round_robin.forget()
         self.limits = table.limits
         for connection in self.connections:
             connection.limits = self.limits
@@ -261,7 +260,7 @@
             self._finish(call, "time_over", time_over(life.service))
             return
         entries = self.hosts.get(life.service, ())
-        view = self.places.choose(entries, life.rule, life.tried, now)
+        view = self.upstreams.choose(entries, life.rule, life.tried, now)
         if view is None:
             refusal = life.refusal or no_upstream(life.service)
             self._finish(call, "no_place", refusal)
@@ -301,11 +300,11 @@
         """Take in what another node's gate has answered, if it has."""
         call.sending = None
         if not isinstance(result, Answered):
-            self._doubt(call.life.view)
+            self._suspect_host(call.life.view)
         outcome, load = decode_offer_result(result)
         self._take_outcome(call, outcome, load)
 
-    def _doubt(self, view):
+    def _suspect_host(self, view):
         """Leave out a host that has not answered, and forget it if it is unlisted."""
         view.fail(self.loop.clock())
         self.loop.post(self.store, HostFailed(view.entry.name))
@@ -317,7 +316,7 @@
         view.in_flight -= 1
         if load is not None:
             view.report(load, life.rule.name, now)
-        nodes = len(self.places.views)
+        nodes = len(self.upstreams.views)
         if isinstance(outcome, Done):
             view.succeed()
             answer = outcome.value
@@ -346,7 +345,7 @@
             self._answer(call, self.refuse(call.exchange.request, refusal))
 
     def _finish(self, call, event, refusal):
-        nodes = len(self.places.views)
+        nodes = len(self.upstreams.views)
         call.life.fire(event, OfferResult(None, refusal, self.loop.clock(), nodes))
         self._go_on(call)
 
@@ -359,7 +358,7 @@
             refusal = Refused(Kind.UPSTREAM_TIMEOUT, detail)
             self._withdraw(call)
             if life.view.is_silent_since(call.offered_at):
-                self._doubt(life.view)
+                self._suspect_host(life.view)
         self._finish(call, "time_over", refusal)
 
     def _answer(self, call, answer):
--- a/packages/cyclamentally-calls/cyclamentally_calls/store_link.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_link.py
@@ -1,7 +1,8 @@
-"""Calls to the platform's store, and whether it is well."""
+"""Calls to the platform's store, and whether it answers."""
 
 from functools import partial
 
+from cyclamentally.store_health import StoreHealth
 from cyclamentally.store_outcomes import StoreFailed
 from cyclamentally_calls.client_connection import ConnectionPool, Sending
 from cyclamentally_calls.http_codec import encode_request
@@ -9,9 +10,11 @@
 
 # The store answers in milliseconds; one that is slow takes some 0.3 s.
 CALL_S = 1.0
+# A region away, with one lost opening packet.
 CONNECT_S = 0.5
 # A store that acknowledges nothing for this long is cut off, in seconds.
 SILENCE_S = 2.0
+# Calls follow one another more often; below the idle limits of usual servers.
 IDLE_S = 30.0
 
 
@@ -35,11 +38,11 @@
     __slots__ = (
         "address",
         "counters",
+        "health",
         "log",
         "loop",
         "on_return",
         "pool",
-        "well_since",
     )
 
     def __init__(self, loop, address, counters, log, on_return):
@@ -49,8 +52,7 @@
         self.log = log
         self.on_return = on_return
         self.pool = ConnectionPool(loop, IDLE_S, CONNECT_S, SILENCE_S)
-        # Since when the store has answered, in seconds; None while it does not.
-        self.well_since = None
+        self.health = StoreHealth()
 
     def call(self, call, on_outcome, limit=CALL_S):
         """Make a call; returns the `Sending`, by which it can be cancelled.
@@ -84,15 +86,18 @@
         else:
             outcome = StoreFailed(result.detail, may_have_run=True)
         if isinstance(outcome, StoreFailed):
-            self._note_failure(outcome)
-        elif self.well_since is None:
-            self.well_since = self.loop.clock()
-            self.log.write("store_well")
+            self.counters.add("store_failures_total")
+            self._log_changes(self.health.failed(outcome.detail))
+        elif changes := self.health.answered(self.loop.clock()):
+            self._log_changes(changes)
             self.on_return()
         on_outcome(outcome)
 
-    def _note_failure(self, outcome):
-        self.counters.add("store_failures_total")
-        if self.well_since is not None:
-            self.log.write("store_ill", detail=outcome.detail)
-        self.well_since = None
+    def _log_changes(self, changes):
+        for change in changes:
+            self.log.write(
+                "state",
+                subject=change.subject,
+                state=change.state,
+                detail=change.detail,
+            )
--- a/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
@@ -2,15 +2,17 @@
 
 from functools import partial
 
+from cyclamentally.effects import Wake
+from cyclamentally.errors import Refused
 from cyclamentally.hosts import HostDirectory, HostEntry
 from cyclamentally.registration import (
     AskLease,
     KeepLease,
     Registration,
     RemoveEntry,
-    Wake,
     WriteEntry,
 )
+from cyclamentally.store_health import PeerLearning
 from cyclamentally.store_outcomes import (
     Changes,
     Conflict,
@@ -49,10 +51,10 @@
 from cyclamentally_calls.store_sinks import HostSink, RouteSink
 
 HOSTS_PREFIX = "cyclamentally/hosts/"
+# A watch without an answer after its wait and this is lost, in seconds.
 WATCH_MARGIN_S = 2.0
+# Small against the 2.5 s after which a missing entry counts as absent.
 TICK_S = 0.5
-# Another node is asked for its configuration this often at most, in seconds.
-PEER_PAUSE_S = 0.5
 
 REGISTRATION_EVENTS = {
     LeaseGranted: "lease_granted",
@@ -103,7 +105,7 @@
     config_prefix : str
         Prefix of the configuration's key.
     decode_routes : callable
-        Takes stored bytes, returns a `RouteTable` or None.
+        Takes stored bytes, returns ``Done`` with a `RouteTable` or ``Refused``.
     place : Place
         This host.
     random : random.Random
@@ -115,17 +117,16 @@
     """
 
     __slots__ = (
-        "asked_peer_at",
         "configuration",
         "counters",
         "decode_routes",
         "dialect",
         "directory",
-        "is_stopping",
         "link",
         "listeners",
         "log",
         "loop",
+        "peer_learning",
         "place",
         "registration",
         "table",
@@ -158,7 +159,7 @@
         self.directory = HostDirectory()
         self.table = None
         self.configuration = None
-        self.asked_peer_at = 0.0
+        self.peer_learning = PeerLearning()
         self.watches = {
             "routes": Watch(
                 config_prefix, RouteSink(self), random, loop.clock, polls_series=True
@@ -170,7 +171,6 @@
         # The one timer of each event, by the object that it is for.
         self.wakes = {}
         self.listeners = []
-        self.is_stopping = None
         self.timer = None
 
     @property
@@ -196,8 +196,7 @@
             entry = HostEntry(p.name, p.domain, p.region, p.address, message.upstream)
             self._register("wanted", entry)
         elif isinstance(message, HostFailed):
-            if message.name in self.directory.unlisted:
-                self.directory.fail(message.name)
+            if self.directory.fail(message.name):
                 self._tell_hosts()
         elif isinstance(message, NewerKnown):
             self._ask_peer(message)
@@ -213,11 +212,14 @@
         """Put a configuration in force if it can be read and is newer."""
         if self.configuration is not None and self.configuration.value == item.value:
             return
-        table = self.decode_routes(item.value)
-        if table is None:
-            self.counters.add("configurations_refused_total", "unreadable")
-            self.log.write("configuration_refused", revision=item.revision)
+        outcome = self.decode_routes(item.value)
+        if isinstance(outcome, Refused):
+            self.counters.add("configurations_refused_total", outcome.kind)
+            self.log.write(
+                "configuration_refused", revision=item.revision, detail=outcome.detail
+            )
             return
+        table = outcome.value
         if self.table is not None and table.version <= self.table.version:
             return
         self.table = table
@@ -255,19 +257,16 @@
         """Return the bytes of what this node knows; none before it knows anything."""
         if self.configuration is None:
             return b""
-        revisions = self.directory.revisions
-        entries = self.directory.entries.values()
-        hosts = [(entry, revisions[entry.name]) for entry in entries]
+        hosts = [(h.entry, h.revision) for h in self.directory.used.values()]
         return encode_state(PeerState(self.configuration, hosts))
 
     def _ask_peer(self, known):
-        """Ask a node that knows a newer configuration, while the store is ill."""
+        """Ask a node that knows more, while the store does not answer."""
         now = self.loop.clock()
-        is_newer = self.table is None or known.version > self.table.version
-        is_due = now - self.asked_peer_at >= PEER_PAUSE_S
-        if self.link.well_since is not None or not is_newer or not is_due:
+        own = self.table.version if self.table else None
+        health = self.link.health
+        if not self.peer_learning.should_ask(known.version, own, health, now):
             return
-        self.asked_peer_at = now
         self.counters.add("peers_asked_total")
         headers = [(b"Host", known.address.encode())]
         data = encode_request(b"GET", STATE_TARGET, headers, b"", False)
@@ -285,8 +284,7 @@
             self.log.write("peer_state_refused", detail=detail)
             return
         for entry, revision in state.hosts:
-            if entry.name not in self.directory.entries:
-                self.directory.put(entry, revision)
+            self.directory.put(entry, revision)
         self._tell_hosts()
         self.take_configuration(state.configuration)
 
@@ -302,6 +300,7 @@
         entry = decode_entry(item.value)
         if entry is None or HOSTS_PREFIX + entry.name != item.key:
             self.counters.add("entries_refused_total", "unreadable")
+            self.log.write("entry_refused", key=item.key, revision=item.revision)
             return None
         return entry
 
@@ -355,6 +354,10 @@
         self.watching[watch.prefix] = self.link.call(call, on_outcome, limit)
 
     def _watched(self, watch, outcome):
+        unreadable = getattr(outcome, "unreadable", 0)
+        if unreadable:
+            self.counters.add("items_refused_total", "unreadable", unreadable)
+            self.log.write("items_refused", prefix=watch.prefix, count=unreadable)
         if isinstance(outcome, Page):
             event = "page" if outcome.has_more else "last_page"
         else:
@@ -372,14 +375,13 @@
         self.wakes[key] = self.loop.call_after(effect.delay_s, run)
 
     def _return_to_store(self):
-        """Ask anew for all that may have been missed while the store was ill."""
+        """Ask anew for all that may have been missed while the store did not answer."""
         for watch in self.watches.values():
             if watch.state != "listing":
                 self._fire_watch(watch, "store_returned")
 
     def _tick(self):
-        before = len(self.directory.entries)
-        self.directory.tick(self.loop.clock(), self.link.well_since)
-        if len(self.directory.entries) != before:
+        available_since = self.link.health.available_since
+        if self.directory.tick(self.loop.clock(), available_since):
             self._tell_hosts()
         self.timer = self.loop.call_after(TICK_S, self._tick)
--- a/packages/cyclamentally-calls/cyclamentally_calls/work.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/work.py
@@ -1,7 +1,7 @@
 """A request at a gate, and the upstream that the gate is for."""
 
 
-class Neighbour:
+class LocalUpstream:
     """The upstream beside a node as the settings name it.
 
     Parameters
--- a/packages/cyclamentally-node/cyclamentally_node/daemon.py
+++ b/packages/cyclamentally-node/cyclamentally_node/daemon.py
@@ -1,6 +1,5 @@
 """The long-running process; it does not import the command line library."""
 
-import gc
 import sys
 from signal import SIGINT, SIGTERM, signal
 from threading import Event
@@ -8,6 +7,7 @@
 from absl.logging import get_absl_logger
 
 from cyclamentally.errors import Refused
+from cyclamentally_calls.memory import settle_memory
 from cyclamentally_node.lean import leave_out_unused
 from cyclamentally_node.logs import start_logs
 from cyclamentally_node.settings import read_settings
@@ -20,8 +20,6 @@
 # A thread that waits for the interpreter lock gets it after this time. The
 # default of 5 ms is three times what a node may add to a call.
 SWITCH_INTERVAL_S = 0.0005
-# Few objects of a request form cycles, and a full collection stops all calls.
-COLLECT_AFTER_OBJECTS = 20_000
 
 
 def make_product_node(settings):
@@ -59,9 +57,7 @@
     logger.info("node: started: %s", settings.listen_peers)
     node = make_node(settings)
     node.start()
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(COLLECT_AFTER_OBJECTS)
+    settle_memory()
     while not stop.wait(RECHECK_S):
         pass
     node.close()
--- a/packages/cyclamentally/cyclamentally/effects.py
+++ b/packages/cyclamentally/cyclamentally/effects.py
@@ -100,3 +100,13 @@
     """The marked or quarantined requests have changed."""
 
     __slots__ = ()
+
+
+class Wake(Record):
+    """Effect: run an event after a delay in seconds."""
+
+    __slots__ = ("event", "delay_s")
+
+    def __init__(self, event, delay_s):
+        self.event = event
+        self.delay_s = delay_s
--- a/packages/cyclamentally/cyclamentally/gate.py
+++ b/packages/cyclamentally/cyclamentally/gate.py
@@ -8,16 +8,16 @@
 from cyclamentally.effects import Count, StateChanged
 from cyclamentally.errors import Kind, Refused
 from cyclamentally.gate_messages import (
+    FIRST_SERVICE_S,
     Heartbeat,
     Load,
+    RecordedEnd,
     RefuseWork,
     Running,
     StartWork,
-    UpstreamEnded,
 )
 
-# Time of a request on a route of which nothing is known yet, in seconds.
-FIRST_SERVICE_S = 0.05
+# Share of the newest duration in a route's usual time.
 SERVICE_WEIGHT = 0.15
 # Bounds the memory of service times; configurations have up to 2,000 routes.
 MAX_KNOWN_ROUTES = 256
@@ -43,6 +43,7 @@
     __slots__ = (
         "ended",
         "ended_until",
+        "has_routes",
         "heard_at",
         "heartbeat",
         "running",
@@ -56,6 +57,7 @@
         self.heartbeat = None
         self.ended = None
         self.ended_until = 0.0
+        self.has_routes = False
         self.heard_at = 0.0
         self.waiting = []
         self.running = {}
@@ -77,7 +79,7 @@
         ended = self.ended
         if ended is None or ended.upstream != heartbeat.upstream:
             return True
-        return heartbeat.started_ms > ended.said_ms
+        return heartbeat.started_ms > ended.reported_ms
 
     def is_same_lifetime(self, heartbeat):
         """Whether a heartbeat speaks of the present lifetime."""
@@ -100,7 +102,7 @@
         return effects
 
     def note_heartbeat(self, heartbeat):
-        """Take over what the upstream says now."""
+        """Take over the newest heartbeat."""
         self.heartbeat = heartbeat
 
     def refuse_waiting(self, message):
@@ -120,22 +122,22 @@
             self.heard_at = now
         return self._fire(event, heartbeat) + self._start(now)
 
-    def end(self, upstream, said_ms, now):
-        """Close the gate to an upstream that says that it has ended.
+    def end(self, upstream, reported_ms, now):
+        """Close the gate to an upstream that reports its end.
 
         Parameters
         ----------
         upstream : str
             Its identifier.
-        said_ms : int
-            When it said so, Unix milliseconds.
+        reported_ms : int
+            When it was reported, Unix milliseconds.
         now : float
             Time in seconds.
         """
         known = self.heartbeat
         if known is None:
             # Kept so that a late heartbeat does not open the gate again.
-            self.ended = UpstreamEnded(upstream, said_ms)
+            self.ended = RecordedEnd(upstream, reported_ms)
             self.ended_until = now + LATE_HEARTBEAT_S
             return []
         if known.upstream != upstream:
@@ -147,11 +149,22 @@
             known.started_ms,
             known.sequence,
             known.slots,
-            0.0,
             True,
         )
         return self.hear(last, now)
 
+    def identify(self, heartbeat, now):
+        """Take over what a liveness check has shown, if nothing is known yet."""
+        return self.hear(heartbeat, now) if self.state == "unknown" else []
+
+    def learn_routes(self):
+        """Note that the configuration is known; requests are refused before."""
+        self.has_routes = True
+
+    def stop(self):
+        """Refuse what waits and all that comes, since this node ends."""
+        return self._fire("stop", None)
+
     def lose(self, event):
         """Note that the upstream is ``silent`` or ``unreachable``."""
         return self._fire(event, None)
@@ -208,13 +221,18 @@
 
     def _check(self, ticket):
         present = self.heartbeat
-        if present is None or self.state == "empty":
+        if self.state == "stopped":
+            return Refused(Kind.STOPPING, "this node is stopping")
+        if not self.has_routes:
+            # Calls that the upstream makes for the request would have no route.
+            return Refused(Kind.NOT_READY, "no configuration has been read yet")
+        if present is None or self.state == "unknown":
             return Refused(Kind.UPSTREAM_LEFT, "no upstream is known here")
         if ticket.upstream != present.upstream or ticket.service != present.service:
             return Refused(Kind.UPSTREAM_LEFT, f"{present.upstream} is here now")
-        if self.state == "left":
+        if self.state == "draining":
             return Refused(Kind.UPSTREAM_LEFT, "the upstream leaves")
-        if self.state == "away":
+        if self.state == "unreachable_upstream":
             return Refused(Kind.UPSTREAM_UNREACHABLE, "the upstream is silent")
         return None
 
--- a/packages/cyclamentally/cyclamentally/gate_messages.py
+++ b/packages/cyclamentally/cyclamentally/gate_messages.py
@@ -2,6 +2,10 @@
 
 from cyclamentally.records import Record
 
+# Time of a request on a route of which nothing is known yet, in seconds: between
+# a call of an upstream (20 ms) and a caller's request (100 ms) in the brief's mix.
+FIRST_SERVICE_S = 0.05
+
 
 class Heartbeat(Record):
     """What an upstream says of itself.
@@ -20,8 +24,6 @@
         Count of its heartbeats in this lifetime.
     slots : int
         Requests that it runs at once.
-    cold_s : float
-        Time for which it will still be slow, in seconds.
     is_leaving : bool
         Whether it is about to end.
     """
@@ -33,7 +35,6 @@
         "started_ms",
         "sequence",
         "slots",
-        "cold_s",
         "is_leaving",
     )
 
@@ -45,7 +46,6 @@
         started_ms,
         sequence,
         slots,
-        cold_s,
         is_leaving,
     ):
         self.upstream = upstream
@@ -54,27 +54,41 @@
         self.started_ms = started_ms
         self.sequence = sequence
         self.slots = slots
-        self.cold_s = cold_s
         self.is_leaving = is_leaving
 
 
 class UpstreamEnded(Record):
-    """An upstream says that it is gone or about to be.
+    """An upstream reports that it is gone or about to be.
+
+    Parameters
+    ----------
+    upstream : str
+        Its identifier.
+    """
+
+    __slots__ = ("upstream",)
+
+    def __init__(self, upstream):
+        self.upstream = upstream
+
+
+class RecordedEnd(Record):
+    """The end of an upstream of which nothing else is known.
 
     Parameters
     ----------
     upstream : str
         Its identifier.
-    said_ms : int
-        When it said so, Unix milliseconds on this host; a lifetime of the
+    reported_ms : int
+        When it was reported, Unix milliseconds on this host; a lifetime of the
         same name that has started later is another one.
     """
 
-    __slots__ = ("upstream", "said_ms")
+    __slots__ = ("upstream", "reported_ms")
 
-    def __init__(self, upstream, said_ms):
+    def __init__(self, upstream, reported_ms):
         self.upstream = upstream
-        self.said_ms = said_ms
+        self.reported_ms = reported_ms
 
 
 class Ticket(Record):
--- a/packages/cyclamentally/cyclamentally/hosts.py
+++ b/packages/cyclamentally/cyclamentally/hosts.py
@@ -1,5 +1,6 @@
 """The hosts of the mesh with their upstreams, as each publishes them."""
 
+from cyclamentally.chart import runs_chart
 from cyclamentally.records import Record
 
 # Users' promise: what a store that is back has not shown again by then is gone.
@@ -15,24 +16,18 @@
         Identifier of its lifetime.
     service : str
         Service that it belongs to.
-    started_ms : int
-        Start of its lifetime, Unix milliseconds.
     slots : int
         Requests that it runs at once.
-    cold_s : float
-        Time for which it was still slow when published, in seconds.
     is_leaving : bool
         Whether it gets no new requests.
     """
 
-    __slots__ = ("name", "service", "started_ms", "slots", "cold_s", "is_leaving")
+    __slots__ = ("name", "service", "slots", "is_leaving")
 
-    def __init__(self, name, service, started_ms, slots, cold_s, is_leaving):
+    def __init__(self, name, service, slots, is_leaving):
         self.name = name
         self.service = service
-        self.started_ms = started_ms
         self.slots = slots
-        self.cold_s = cold_s
         self.is_leaving = is_leaving
 
 
@@ -61,41 +56,70 @@
         self.upstream = upstream
 
 
+@runs_chart("listed_host")
+class ListedHost:
+    """A host in the directory; runs ``listed_host``."""
+
+    __slots__ = ("entry", "revision", "state", "unlisted_since")
+
+    def __init__(self):
+        self.state = self.chart.initial
+        self.entry = None
+        self.revision = 0
+        self.unlisted_since = 0.0
+
+    @property
+    def is_used(self):
+        """Whether requests may be offered to the host."""
+        return self.state in ("listed", "unlisted")
+
+    def fire(self, event, message=None):
+        """Run an event of the chart."""
+        self.chart.fire(self, event, message)
+
+    def adopt(self, entry):
+        """Take over the entry."""
+        self.entry = entry
+
+    def note_absence(self, now):
+        """Keep since when the entry is missing."""
+        self.unlisted_since = now
+
+
 class HostDirectory:
     """Hosts by name, kept through outages of the store.
 
-    An entry that vanishes while the store is ill proves nothing: the host is
-    used on until it fails, or until the store has been well for a while and
-    still does not list it.
+    An entry that vanishes while the store is unavailable proves nothing: the
+    host is used on until it fails, or until the store has been available for a
+    while and still does not list it.
     """
 
-    __slots__ = ("by_service", "entries", "revisions", "unlisted")
+    __slots__ = ("by_service", "hosts")
 
     def __init__(self):
-        self.entries = {}
-        self.revisions = {}
-        self.unlisted = {}
+        self.hosts = {}
         self.by_service = {}
 
+    @property
+    def used(self):
+        """The hosts that requests may be offered to, by name."""
+        return {name: host for name, host in self.hosts.items() if host.is_used}
+
     def put(self, entry, revision):
-        """Take over a listed entry unless a later one is known."""
-        if revision < self.revisions.get(entry.name, 0):
+        """Take over an entry unless a later one is known."""
+        host = self.hosts.setdefault(entry.name, ListedHost())
+        if revision < host.revision:
             return
-        self.revisions[entry.name] = revision
-        self.unlisted.pop(entry.name, None)
-        if entry.upstream.is_leaving:
-            self.entries.pop(entry.name, None)
-        else:
-            self.entries[entry.name] = entry
+        host.revision = revision
+        host.fire("left" if entry.upstream.is_leaving else "listed", entry)
         self._index()
 
     def remove(self, name, revision, now):
         """Note that an entry is no longer listed."""
-        if revision < self.revisions.get(name, 0):
-            return
-        self.revisions[name] = revision
-        if name in self.entries:
-            self.unlisted.setdefault(name, now)
+        host = self.hosts.get(name)
+        if host is not None and revision >= host.revision:
+            host.revision = revision
+            host.fire("removed", now)
 
     def replace(self, listed, now):
         """Take over a whole listing.
@@ -107,45 +131,53 @@
         now : float
             Time in seconds.
         """
-        names = set()
         for entry, revision in listed:
-            names.add(entry.name)
             self.put(entry, revision)
-        for name in self.entries.keys() - names:
-            self.unlisted.setdefault(name, now)
+        for name in self.hosts.keys() - {entry.name for entry, _ in listed}:
+            self.hosts[name].fire("removed", now)
 
     def fail(self, name):
-        """Forget a host that is not listed and does not answer."""
-        if name in self.unlisted:
-            self._drop(name)
+        """Drop a host that is not listed and does not answer.
 
-    def tick(self, now, well_since):
-        """Forget hosts that a store in good health does not list.
+        Returns whether it was dropped.
+        """
+        host = self.hosts.get(name)
+        if host is None or not host.is_used:
+            return False
+        host.fire("unanswered")
+        self._index()
+        return not host.is_used
+
+    def tick(self, now, available_since):
+        """Drop hosts that an available store does not list.
 
         Parameters
         ----------
         now : float
             Time in seconds.
-        well_since : float or None
-            Since when the store has answered; None while it is ill.
-        """
-        if well_since is None:
-            return
-        for name, since in list(self.unlisted.items()):
-            if now - max(since, well_since) >= UNLISTED_S:
-                self._drop(name)
-
-    def of_service(self, service):
-        """Return the entries of a service's upstreams."""
-        return self.by_service.get(service, ())
+        available_since : float or None
+            Since when the store has answered; None while it does not.
 
-    def _drop(self, name):
-        self.unlisted.pop(name, None)
-        self.entries.pop(name, None)
-        self._index()
+        Returns
+        -------
+        bool
+            Whether any was dropped.
+        """
+        if available_since is None:
+            return False
+        dropped = False
+        for host in self.hosts.values():
+            since = max(host.unlisted_since, available_since)
+            if host.state == "unlisted" and now - since >= UNLISTED_S:
+                host.fire("confirmed_absent")
+                dropped = True
+        if dropped:
+            self._index()
+        return dropped
 
     def _index(self):
         by_service = {}
-        for entry in self.entries.values():
-            by_service.setdefault(entry.upstream.service, []).append(entry)
+        for host in self.used.values():
+            service = host.entry.upstream.service
+            by_service.setdefault(service, []).append(host.entry)
         self.by_service = by_service
--- a/packages/cyclamentally/cyclamentally/placing.py
+++ b/packages/cyclamentally/cyclamentally/placing.py
@@ -3,6 +3,7 @@
 from abc import ABC, abstractmethod
 
 from cyclamentally.errors import Kind
+from cyclamentally.gate_messages import FIRST_SERVICE_S
 from cyclamentally.records import Record
 
 # Round trips within a failure domain, a region and between regions, seconds;
@@ -14,6 +15,8 @@
 # far upstream has to be this much faster, in seconds.
 REGION_COST_S = 0.004
 FAR_COST_S = 0.03
+# Downloads are some 18 times larger than other answers; a fifth of that keeps
+# them near without waiting for a full upstream.
 DOWNLOAD_FACTOR = 5.0
 # An upstream has room up to this share of its slots; some slow down beyond.
 ROOM_SHARE = 0.8
@@ -22,7 +25,6 @@
 # Choices within this of the best are alike; one of them is taken at random, so
 # that the nodes do not all turn to the same upstream.
 ALIKE_S = 0.004
-FIRST_SERVICE_S = 0.05
 # What an upstream's gate said of its load loses half of its weight in this time.
 LOAD_HALF_LIFE_S = 0.5
 # An upstream that left comes back only with another entry, but a node that was
@@ -32,6 +34,8 @@
 SHED_PAUSE_S = 0.05
 # The gate's own wait is an estimate; longer pauses would leave slots unused.
 FULL_PAUSE_S = 0.05
+# A host that does not answer: doubled with each failure, in seconds. The bound
+# lets a host that is back be found within about a heartbeat of its upstream.
 FIRST_PAUSE_S = 0.25
 LONGEST_PAUSE_S = 4.0
 
@@ -175,7 +179,7 @@
         return TARGET_MARGIN * expected <= rule.target_s
 
 
-class Places:
+class UpstreamViews:
     """The views of all upstreams, kept up with the directory.
 
     Parameters
--- /dev/null
+++ b/packages/cyclamentally/cyclamentally/publication.py
@@ -0,0 +1,34 @@
+"""What other nodes are told of the upstream beside a node."""
+
+from cyclamentally.hosts import UpstreamEntry
+
+
+class Publication:
+    """Decide when the entry of the upstream has to be written anew."""
+
+    __slots__ = ("published",)
+
+    def __init__(self):
+        self.published = None
+
+    def update(self, gate):
+        """Return the `UpstreamEntry` to publish, or None if nothing changed.
+
+        Parameters
+        ----------
+        gate : Gate
+            The gate of the upstream.
+        """
+        heartbeat = gate.heartbeat
+        if heartbeat is None or gate.state == "stopped":
+            return None
+        is_open = gate.state == "open"
+        if self.published is None and not is_open:
+            return None
+        entry = UpstreamEntry(
+            heartbeat.upstream, heartbeat.service, heartbeat.slots, not is_open
+        )
+        if entry == self.published:
+            return None
+        self.published = entry
+        return entry
--- a/packages/cyclamentally/cyclamentally/registration.py
+++ b/packages/cyclamentally/cyclamentally/registration.py
@@ -1,16 +1,15 @@
 """The entry of this host in the platform's store, kept up by a lease."""
 
 from cyclamentally.chart import runs_chart
+from cyclamentally.effects import Wake
 from cyclamentally.limits import Backoff
 from cyclamentally.records import Record
+from cyclamentally.store_outcomes import FIRST_RETRY_S, LONGEST_RETRY_S
 
 # A host that has lost power is listed this long at most, in seconds.
 LEASE_S = 8.0
 # Two renewals may fail before the lease ends.
 RENEW_S = 2.5
-# Entries have to be back within 2 s of the store's return.
-FIRST_RETRY_S = 0.1
-LONGEST_RETRY_S = 0.8
 
 
 class AskLease(Record):
@@ -47,16 +46,6 @@
     __slots__ = ()
 
 
-class Wake(Record):
-    """Effect: run an event after a delay in seconds."""
-
-    __slots__ = ("event", "delay_s")
-
-    def __init__(self, event, delay_s):
-        self.event = event
-        self.delay_s = delay_s
-
-
 @runs_chart("registration")
 class Registration:
     """Keep the entry listed; runs the chart ``registration``.
--- a/packages/cyclamentally/cyclamentally/routes.py
+++ b/packages/cyclamentally/cyclamentally/routes.py
@@ -172,7 +172,7 @@
         return None
 
 
-class WeightedTurns:
+class WeightedRoundRobin:
     """Deal the requests of routes to their destinations by weight.
 
     Each destination gains its weight with every request, and the one that has
--- /dev/null
+++ b/packages/cyclamentally/cyclamentally/shutdown.py
@@ -0,0 +1,82 @@
+"""The graceful end of a node process."""
+
+from cyclamentally.chart import runs_chart
+from cyclamentally.effects import Wake
+from cyclamentally.records import Record
+
+# Callers learn from two readiness checks, a second apart, that a node ends.
+CALLERS_LEAVE_S = 2.3
+# Short against a request, so that the process ends soon after the last one.
+CHECK_S = 0.05
+# The part of the time given for the end that requests in flight may use; the
+# rest is for closing sockets and for a busy processor.
+DRAIN_SHARE = 0.85
+
+
+class AnnounceEnd(Record):
+    """Effect: tell all tasks that the node ends."""
+
+    __slots__ = ()
+
+
+class EndConnections(Record):
+    """Effect: take no new callers, and end connections without a request."""
+
+    __slots__ = ()
+
+
+class AskIdle(Record):
+    """Effect: ask the tasks that carry requests whether they have any."""
+
+    __slots__ = ()
+
+
+class EndProcess(Record):
+    """Effect: close all sockets and end."""
+
+    __slots__ = ()
+
+
+@runs_chart("shutdown")
+class Shutdown:
+    """Decide how a node ends; runs ``shutdown``.
+
+    Parameters
+    ----------
+    grace_s : float
+        Time from the request to end until the process is killed, in seconds.
+    """
+
+    __slots__ = ("grace_s", "state")
+
+    def __init__(self, grace_s):
+        self.grace_s = grace_s
+        self.state = self.chart.initial
+
+    def fire(self, event):
+        """Run an event and return the effects."""
+        return self.chart.fire(self, event)
+
+    def announce(self, message):
+        """Tell the tasks; callers still come for a while."""
+        return [
+            AnnounceEnd(),
+            Wake("callers_left", CALLERS_LEAVE_S),
+            Wake("time_over", DRAIN_SHARE * self.grace_s),
+        ]
+
+    def end_connections(self, message):
+        """Take no new callers."""
+        return [EndConnections()]
+
+    def ask_idle(self, message):
+        """Ask whether requests are left."""
+        return [AskIdle()]
+
+    def check_later(self, message):
+        """Ask again soon."""
+        return [Wake("check", CHECK_S)]
+
+    def end(self, message):
+        """End the process."""
+        return [EndProcess()]
--- a/packages/cyclamentally/cyclamentally/store_outcomes.py
+++ b/packages/cyclamentally/cyclamentally/store_outcomes.py
@@ -5,6 +5,11 @@
 
 from cyclamentally.records import Record
 
+# Delays between calls to a store that fails, in seconds: entries have to be back
+# within 2 s of its return.
+FIRST_RETRY_S = 0.1
+LONGEST_RETRY_S = 0.8
+
 
 class StoreCall(Record):
     """An encoded call to the store.
@@ -56,6 +61,7 @@
     items: list
     has_more: bool
     revision: int
+    unreadable: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +70,7 @@
 
     changes: list
     revision: int
+    unreadable: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/cyclamentally/cyclamentally/tests/test_chart.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_chart.py
@@ -9,13 +9,17 @@
 from cyclamentally.endpoints import Endpoint
 from cyclamentally.forwarding import Forwarding
 from cyclamentally.gate import Gate
+from cyclamentally.hosts import ListedHost
 from cyclamentally.idempotency import Claim
 from cyclamentally.lifecycle import NodeLife
 from cyclamentally.members import Member
 from cyclamentally.quarantine import SuspectRequest
+from cyclamentally.readiness import Readiness
 from cyclamentally.registration import Registration
 from cyclamentally.relays import Relay
 from cyclamentally.retries import RequestLife
+from cyclamentally.shutdown import Shutdown
+from cyclamentally.store_health import StoreHealth
 from cyclamentally.versions import ProfileSlot
 from cyclamentally.watching import Watch
 
@@ -33,6 +37,10 @@
     Forwarding,
     Registration,
     Watch,
+    ListedHost,
+    Readiness,
+    Shutdown,
+    StoreHealth,
 ]
 
 
--- a/packages/cyclamentally/cyclamentally/tests/test_forwarding.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_forwarding.py
@@ -18,7 +18,7 @@
 
 
 def view(name):
-    upstream = UpstreamEntry(name, "shop", 1, 4, 0.0, False)
+    upstream = UpstreamEntry(name, "shop", 4, False)
     return View(HostEntry(f"host-{name}", "d", "r", "10.0.0.1:1", upstream), 0.0)
 
 
--- a/packages/cyclamentally/cyclamentally/tests/test_gate.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_gate.py
@@ -5,11 +5,12 @@
 from cyclamentally.errors import Kind
 from cyclamentally.gate import FIRST_SERVICE_S, LATE_HEARTBEAT_S, Gate
 from cyclamentally.gate_messages import Heartbeat, RefuseWork, StartWork, Ticket
+from cyclamentally.publication import Publication
 
 
 def heartbeat(upstream="u1", started=1_000, sequence=1, slots=2, is_leaving=False):
     return Heartbeat(
-        upstream, "shop", "10.0.0.1:80", started, sequence, slots, 0.0, is_leaving
+        upstream, "shop", "10.0.0.1:80", started, sequence, slots, is_leaving
     )
 
 
@@ -27,16 +28,23 @@
         return False
 
 
+def open_gate():
+    gate = Gate()
+    gate.learn_routes()
+    return gate
+
+
 @pytest.fixture
 def first_in_gate():
     gate = FirstInGate()
+    gate.learn_routes()
     gate.hear(heartbeat(), 0.0)
     return gate
 
 
 @pytest.fixture
 def gate():
-    gate = Gate()
+    gate = open_gate()
     gate.hear(heartbeat(), 0.0)
     return gate
 
@@ -60,7 +68,9 @@
 
 
 def test_without_an_upstream_everything_is_refused_as_not_run():
-    assert outcomes(Gate().admit(ticket(1), 0.0)).refused == {1: Kind.UPSTREAM_LEFT}
+    assert outcomes(open_gate().admit(ticket(1), 0.0)).refused == {
+        1: Kind.UPSTREAM_LEFT
+    }
 
 
 @pytest.mark.parametrize(
@@ -92,7 +102,7 @@
 def test_a_late_heartbeat_does_not_open_a_gate_that_was_left(gate, late):
     gate.hear(heartbeat(sequence=2, is_leaving=True), 0.1)
     gate.hear(late, 0.2)
-    assert gate.state == "left"
+    assert gate.state == "draining"
 
 
 def test_a_start_under_the_same_name_opens_the_gate_with_counts_from_one(gate):
@@ -103,8 +113,8 @@
 
 
 def test_an_end_before_any_heartbeat_is_kept(gate):
-    fresh = Gate()
-    fresh.end("u1", said_ms=1_500, now=0.0)
+    fresh = open_gate()
+    fresh.end("u1", reported_ms=1_500, now=0.0)
     fresh.hear(heartbeat(started=1_000), 0.1)
     assert fresh.state != "open"
     assert outcomes(fresh.admit(ticket(1), 0.1)).refused == {1: Kind.UPSTREAM_LEFT}
@@ -113,7 +123,7 @@
 
 
 def test_a_heartbeat_confirms_what_a_liveness_check_has_shown():
-    gate = Gate()
+    gate = open_gate()
     gate.hear(heartbeat(started=0, sequence=0), 0.0)
     gate.admit(ticket(1), 0.0)
     gate.hear(heartbeat(started=1_000, sequence=3), 0.1)
@@ -122,15 +132,15 @@
 
 
 def test_an_end_before_any_heartbeat_closes_the_gate_to_that_upstream_only():
-    fresh = Gate()
-    fresh.end("u0", said_ms=9_000, now=0.0)
+    fresh = open_gate()
+    fresh.end("u0", reported_ms=9_000, now=0.0)
     fresh.hear(heartbeat("u1", started=1_000), 0.1)
     assert fresh.state == "open"
 
 
 def test_a_clock_that_was_ahead_does_not_keep_a_restarted_upstream_out():
-    fresh = Gate()
-    fresh.end("u1", said_ms=9_000, now=0.0)
+    fresh = open_gate()
+    fresh.end("u1", reported_ms=9_000, now=0.0)
     fresh.hear(heartbeat("u1", started=8_000), 1.0)
     assert fresh.state != "open"
     fresh.hear(heartbeat("u1", started=8_000, sequence=9), LATE_HEARTBEAT_S + 1.0)
@@ -138,7 +148,7 @@
 
 
 def test_an_end_of_another_upstream_changes_nothing(gate):
-    gate.end("u0", said_ms=5_000, now=0.1)
+    gate.end("u0", reported_ms=5_000, now=0.1)
     assert gate.state == "open"
 
 
@@ -244,3 +254,35 @@
 
 def test_the_same_load_is_mostly_late_first_in_first_out(first_in_gate):
     assert play_overload(first_in_gate) < 0.3 / 1.5
+
+
+def test_before_the_configuration_everything_is_refused_as_not_run():
+    gate = Gate()
+    gate.hear(heartbeat(), 0.0)
+    assert outcomes(gate.admit(ticket(1), 0.0)).refused == {1: Kind.NOT_READY}
+
+
+def test_a_node_that_ends_sends_its_queue_back_and_takes_nothing(gate):
+    for number in range(3):
+        gate.admit(ticket(number), 0.0)
+    assert list(outcomes(gate.stop()).refused) == [2]
+    assert outcomes(gate.admit(ticket(4), 0.1)).refused == {4: Kind.STOPPING}
+    gate.hear(heartbeat(sequence=5), 0.2)
+    assert outcomes(gate.finish(0, True, 0.3)).started == []
+
+
+def test_a_liveness_check_does_not_replace_a_heartbeat(gate):
+    assert gate.identify(heartbeat("u9", started=0), 0.1) == []
+    assert gate.heartbeat.upstream == "u1"
+
+
+def test_an_entry_is_published_when_it_changes_and_not_at_the_end(gate):
+    publication = Publication()
+    assert publication.update(Gate()) is None
+    assert publication.update(gate).is_leaving is False
+    gate.hear(heartbeat(sequence=2), 0.1)
+    assert publication.update(gate) is None
+    gate.hear(heartbeat(sequence=3, is_leaving=True), 0.2)
+    assert publication.update(gate).is_leaving is True
+    gate.stop()
+    assert publication.update(gate) is None
--- a/packages/cyclamentally/cyclamentally/tests/test_hosts.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_hosts.py
@@ -4,21 +4,21 @@
 
 from cyclamentally.gate_messages import Load
 from cyclamentally.hosts import UNLISTED_S, HostDirectory, HostEntry, UpstreamEntry
-from cyclamentally.placing import NearWithRoom, Places
+from cyclamentally.placing import NearWithRoom, UpstreamViews
 from cyclamentally.routes import (
     CallerLimits,
     Destination,
     RequestKind,
     RouteRule,
     RouteTable,
-    WeightedTurns,
+    WeightedRoundRobin,
 )
 
 SINGLE = (Destination("shop", 1),)
 
 
 def entry(name, domain="d1", region="r1", is_leaving=False, upstream="u"):
-    announced = UpstreamEntry(f"{upstream}-{name}", "shop", 1, 2, 0.0, is_leaving)
+    announced = UpstreamEntry(f"{upstream}-{name}", "shop", 2, is_leaving)
     return HostEntry(name, domain, region, "10.0.0.1:1", announced)
 
 
@@ -34,7 +34,7 @@
 
 
 def names(directory):
-    return sorted(e.name for e in directory.of_service("shop"))
+    return sorted(e.name for e in directory.by_service.get("shop", ()))
 
 
 def test_an_entry_that_vanished_is_used_until_the_store_has_been_well(directory):
@@ -73,7 +73,7 @@
 
 
 def test_the_nearest_upstream_is_chosen_while_it_has_room():
-    places = Places("d1", "r1", NearWithRoom(Random(1)))
+    places = UpstreamViews("d1", "r1", NearWithRoom(Random(1)))
     entries = [entry("near"), entry("far", "d9", "r9"), entry("mid", "d2")]
     places.update(entries)
     chosen = places.choose(entries, rule(), set(), 0.0)
@@ -83,7 +83,7 @@
 
 
 def test_a_faster_upstream_far_away_is_left_while_the_near_one_is_in_time():
-    places = Places("d1", "r1", NearWithRoom(Random(1)))
+    places = UpstreamViews("d1", "r1", NearWithRoom(Random(1)))
     entries = [entry("near"), entry("far", "d9", "r9")]
     places.update(entries)
     places.views["near"].times["r"] = 0.15
@@ -94,7 +94,7 @@
 
 
 def test_a_paused_upstream_is_used_if_there_is_no_other():
-    places = Places("d1", "r1", NearWithRoom(Random(1)))
+    places = UpstreamViews("d1", "r1", NearWithRoom(Random(1)))
     entries = [entry("near"), entry("mid", "d2")]
     places.update(entries)
     places.views["near"].fail(0.0)
@@ -103,7 +103,7 @@
 
 
 def test_a_paused_upstream_is_no_second_choice():
-    places = Places("d1", "r1", NearWithRoom(Random(1)))
+    places = UpstreamViews("d1", "r1", NearWithRoom(Random(1)))
     entries = [entry("near"), entry("mid", "d2")]
     places.update(entries)
     places.views["mid"].pause(0.0, 1.0)
@@ -111,7 +111,7 @@
 
 
 def test_a_host_that_answered_since_is_not_silent():
-    places = Places("d1", "r1", NearWithRoom(Random(1)))
+    places = UpstreamViews("d1", "r1", NearWithRoom(Random(1)))
     places.update([entry("near")])
     view = places.views["near"]
     assert view.is_silent_since(1.0)
@@ -121,7 +121,7 @@
 
 
 def test_a_tried_upstream_is_not_chosen_again():
-    places = Places("d1", "r1", NearWithRoom(Random(1)))
+    places = UpstreamViews("d1", "r1", NearWithRoom(Random(1)))
     entries = [entry("near")]
     places.update(entries)
     assert places.choose(entries, rule(), {"u-near"}, 0.0) is None
@@ -129,7 +129,7 @@
 
 @pytest.mark.parametrize("seed", range(5))
 def test_requests_are_dealt_by_weight(seed):
-    turns = WeightedTurns(Random(seed))
+    turns = WeightedRoundRobin(Random(seed))
     parts = (Destination("shop", 90), Destination("bank", 10))
     dealt = [turns.choose(rule(parts)) for _ in range(200)]
     assert dealt.count("bank") in (19, 20, 21)
--- a/packages/cyclamentally/cyclamentally/watching.py
+++ b/packages/cyclamentally/cyclamentally/watching.py
@@ -3,9 +3,10 @@
 from abc import ABC, abstractmethod
 
 from cyclamentally.chart import runs_chart
+from cyclamentally.effects import Wake
 from cyclamentally.limits import Backoff
 from cyclamentally.records import Record
-from cyclamentally.registration import Wake
+from cyclamentally.store_outcomes import FIRST_RETRY_S, LONGEST_RETRY_S
 
 # Longest wait of one call; the store allows 30 s.
 WATCH_S = 25.0
@@ -14,8 +15,6 @@
 GATHER_S = 0.7
 # A change this soon after the one before makes a series, in seconds.
 SERIES_S = 2.0
-FIRST_RETRY_S = 0.1
-LONGEST_RETRY_S = 0.8
 
 
 class ReadPage(Record):
