--- a/packages/cyclamentally-calls/cyclamentally_calls/client_connection.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/client_connection.py
@@ -5,9 +5,12 @@
 from cyclamentally_calls.outcomes import Answered, Lost, NotSent
 from cyclamentally_calls.stream import StreamOwner, connect
 
-# Kept connections are given up this long before the server's own idle limit.
+# Kept connections are given up this long before the server's own idle limit, in
+# seconds, since the server states whole ones.
 IDLE_MARGIN_S = 1.0
+# Bounds the memory of one answer; downloads have up to 0.6 MB.
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
+# A server that sends more answers to other requests than this is not waited for.
 IGNORED_ANSWERS = 3
 
 
@@ -159,7 +162,7 @@
 
     def on_connected(self):
         """Send the waiting request."""
-        self.pool.count_connection(self.address)
+        self.pool.note_opened()
         self.fire("connected")
 
     def on_bytes(self, data):
@@ -260,10 +263,6 @@
         if sending.on_outcome is not None:
             sending.timer = self.loop.call_at(deadline, lambda: _time_out(sending))
 
-    def count(self, address):
-        """Return the number of connections to an address."""
-        return len(self.all.get(address, ()))
-
     def put_back(self, connection):
         """Keep an idle connection."""
         self.idle.setdefault(connection.address, []).append(connection)
@@ -280,7 +279,7 @@
                 del self.all[connection.address]
                 self.idle.pop(connection.address, None)
 
-    def count_connection(self, address):
+    def note_opened(self):
         """Count an opened connection."""
         self.opened += 1
 
--- a/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
@@ -47,15 +47,19 @@
 from cyclamentally_calls.work import Work
 
 MS = 1_000
-# Upstreams close idle connections after 10 s; theirs to state otherwise.
+# Longest idle time of a connection, in seconds, where the upstream states none;
+# both deployments close them after 10 s.
 IDLE_S = 8.0
-# The upstream runs on the same host, so a connection takes no time.
+# Longest time to connect, in seconds; the upstream is on the same host.
 CONNECT_S = 0.5
-# The question at the start who the upstream is; its heartbeat answers it too.
+# Longest time of the liveness check at the start, in seconds; a heartbeat tells
+# the same later.
 PROBE_S = 0.5
-# Heartbeats of this many periods missed: the upstream is taken to be away.
+# Periods without a heartbeat after which the upstream counts as unreachable;
+# single heartbeats may be lost or late.
 MISSED_HEARTBEATS = 3.5
-# While requests wait they are checked often, so that refusals come early.
+# Seconds between checks. While requests wait they are checked often, so that
+# refusals come early.
 BUSY_TICK_S = 0.05
 CALM_TICK_S = 0.25
 # Bounds of what other nodes send: heads carry a ticket besides the caller's.
--- a/packages/cyclamentally-calls/cyclamentally_calls/loop.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/loop.py
@@ -6,7 +6,7 @@
 from select import EPOLLERR, EPOLLHUP, epoll
 from time import CLOCK_BOOTTIME, clock_gettime
 
-# Upper bound of one wait; timers and sockets end it earlier.
+# Upper bound of one wait, in seconds; timers and sockets end it earlier.
 LONGEST_WAIT_S = 5.0
 BROKEN = EPOLLERR | EPOLLHUP
 
--- a/packages/cyclamentally-calls/cyclamentally_calls/server_connection.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/server_connection.py
@@ -8,11 +8,12 @@
 from cyclamentally_calls.http_codec import CONTINUE, RequestParser, encode_answer
 from cyclamentally_calls.stream import Stream, StreamOwner
 
-# Callers that pipeline send a handful; more than this is not read for now.
+# Callers that pipeline send a handful; those behind wait their turn.
 MAX_PIPELINED = 16
 # Beyond this the connection is ended; bounds its memory.
 MAX_QUEUED = 128
-# A caller has this long to take its last answer before the socket is closed.
+# What a caller still sends is read and dropped for this long, in seconds, so
+# that its unread bytes do not reset the connection under the last answer.
 LINGER_S = 1.0
 
 
--- a/packages/cyclamentally-calls/cyclamentally_calls/store_sinks.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_sinks.py
@@ -4,8 +4,8 @@
 from cyclamentally.watching import WatchSink
 
 
-class RouteSink(WatchSink):
-    """Takes over configurations.
+class TaskSink(WatchSink):
+    """Hands what a watch finds to the task that owns it.
 
     Parameters
     ----------
@@ -18,6 +18,12 @@
     def __init__(self, task):
         self.task = task
 
+
+class RouteSink(TaskSink):
+    """Takes over configurations."""
+
+    __slots__ = ()
+
     def on_listing(self, items):
         """Take over the stored configuration, if there is one."""
         for item in items:
@@ -30,19 +36,10 @@
                 self.task.take_configuration(change)
 
 
-class HostSink(WatchSink):
-    """Takes over the entries of hosts.
+class HostSink(TaskSink):
+    """Takes over the entries of hosts."""
 
-    Parameters
-    ----------
-    task : StoreTask
-        Owner.
-    """
-
-    __slots__ = ("task",)
-
-    def __init__(self, task):
-        self.task = task
+    __slots__ = ()
 
     def on_listing(self, items):
         """Take over all entries."""
--- a/packages/cyclamentally-calls/cyclamentally_calls/stream.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/stream.py
@@ -22,6 +22,7 @@
 
 from cyclamentally_calls.loop import BROKEN
 
+# Largest read; a buffer of this size is made for each.
 READ_BYTES = 65_536
 # Callers of a whole failure domain may open connections at the same moment.
 BACKLOG = 512
@@ -73,7 +74,6 @@
         "is_shut",
         "loop",
         "owner",
-        "received",
         "sent",
         "socket",
         "unsent",
@@ -89,7 +89,6 @@
         self.is_shut = False
         self.unsent = bytearray()
         self.sent = 0
-        self.received = 0
         self.events = EPOLLIN if is_connected else EPOLLOUT
         loop.watch(self.descriptor, self.events, self._on_events)
 
@@ -182,7 +181,6 @@
             self._end(str(error))
             return
         if data:
-            self.received += len(data)
             self.owner.on_bytes(data)
         else:
             self._end("")
--- a/packages/cyclamentally/cyclamentally/budgets.py
+++ b/packages/cyclamentally/cyclamentally/budgets.py
@@ -4,7 +4,8 @@
 
 from cyclamentally.records import Record
 
-# Left unused, since nodes count their windows at different moments.
+# The part of the budget that is used, since nodes count their windows at
+# different moments.
 SAFE_SHARE = 0.7
 
 
--- a/packages/cyclamentally/cyclamentally/gate.py
+++ b/packages/cyclamentally/cyclamentally/gate.py
@@ -17,7 +17,8 @@
     StartWork,
 )
 
-# Share of the newest duration in a route's usual time.
+# Share of the newest duration in a route's usual time; about seven requests
+# make a change of speed felt.
 SERVICE_WEIGHT = 0.15
 # Bounds the memory of service times; configurations have up to 2,000 routes.
 MAX_KNOWN_ROUTES = 256
