--- a/packages/cyclamentally-calls/cyclamentally_calls/http_codec.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/http_codec.py
@@ -7,7 +7,6 @@
     HttpResponseParser,
 )
 
-HTTP_10 = "1.0"
 HOP_HEADERS = frozenset(
     (
         b"connection",
--- a/packages/cyclamentally-calls/cyclamentally_calls/store_link.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_link.py
@@ -84,7 +84,7 @@
         if isinstance(result, Answered):
             outcome = call.decode(result.answer.status, result.answer.body)
         else:
-            outcome = StoreFailed(result.detail, may_have_run=True)
+            outcome = StoreFailed(result.detail)
         if isinstance(outcome, StoreFailed):
             self.counters.add("store_failures_total")
             self._log_changes(self.health.failed(outcome.detail))
--- a/packages/cyclamentally/cyclamentally/errors.py
+++ b/packages/cyclamentally/cyclamentally/errors.py
@@ -31,7 +31,6 @@
     UPSTREAM_LEFT = "upstream_left"
     HEADERS_TOO_LARGE = "headers_too_large"
     REQUEST_TIMEOUT = "request_timeout"
-    ATTEMPT_NOT_RUN = "attempt_not_run"
     REQUEST_QUARANTINED = "request_quarantined"
     KEY_IN_PROGRESS = "key_in_progress"
     KEY_REUSED = "key_reused"
@@ -101,7 +100,6 @@
     Kind.UPSTREAM_LEFT: Answer(503, Ran.NO, 1, EXIT_UNAVAILABLE),
     Kind.HEADERS_TOO_LARGE: Answer(431, Ran.NO, None, EXIT_INPUT),
     Kind.REQUEST_TIMEOUT: Answer(408, Ran.NO, None, EXIT_UNAVAILABLE),
-    Kind.ATTEMPT_NOT_RUN: Answer(503, Ran.NO, 1, EXIT_UNAVAILABLE),
     Kind.REQUEST_QUARANTINED: Answer(422, Ran.NO, None, EXIT_INPUT),
     Kind.KEY_IN_PROGRESS: Answer(409, Ran.UNKNOWN, 1, EXIT_CONFLICT),
     Kind.KEY_REUSED: Answer(422, Ran.NO, None, EXIT_INPUT),
--- a/packages/cyclamentally/cyclamentally/placing.py
+++ b/packages/cyclamentally/cyclamentally/placing.py
@@ -127,19 +127,6 @@
         """Return one `View` of a list that is not empty."""
 
 
-class RandomPlacement(Placement):
-    """Any upstream with the same probability; the baseline."""
-
-    __slots__ = ("random",)
-
-    def __init__(self, random):
-        self.random = random
-
-    def choose(self, views, rule, now):
-        """Return a random view."""
-        return self.random.choice(views)
-
-
 class NearWithRoom(Placement):
     """The nearest upstream with room; without any, the one that answers first.
 
--- a/packages/cyclamentally/cyclamentally/store_outcomes.py
+++ b/packages/cyclamentally/cyclamentally/store_outcomes.py
@@ -113,7 +113,6 @@
     """The store refused, did not answer, or sent what cannot be read."""
 
     detail: str
-    may_have_run: bool
 
 
 class StoreDialect(ABC):
--- a/packages/cyclamentally/cyclamentally/tests/test_gate.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_gate.py
@@ -18,30 +18,12 @@
     return Ticket(number, upstream, service, "route", priority, target, expires)
 
 
-class FirstInGate(Gate):
-    """The baseline: first in, first out, refused only when time is over."""
-
-    def _order(self, ticket, now):
-        return ticket.number
-
-    def _is_late(self, ticket, start):
-        return False
-
-
 def open_gate():
     gate = Gate()
     gate.learn_routes()
     return gate
 
 
-@pytest.fixture
-def first_in_gate():
-    gate = FirstInGate()
-    gate.learn_routes()
-    gate.hear(heartbeat(), 0.0)
-    return gate
-
-
 @pytest.fixture
 def gate():
     gate = open_gate()
@@ -223,39 +205,6 @@
     assert refused == {1: Kind.QUEUE_FULL}
 
 
-def play_overload(gate, seconds=6.0, factor=1.5):
-    """Offer more than two slots can do; return the share answered on target."""
-    now, step, number = 0.0, 0.005, 0
-    ends, arrivals, on_target = {}, {}, 0
-    per_step = factor * 2 / 0.1 * step
-    due = 0.0
-    while now < seconds:
-        effects = []
-        for running in [n for n, end in ends.items() if end <= now]:
-            del ends[running]
-            on_target += now <= arrivals[running] + 0.25
-            effects += gate.finish(running, True, now)
-        due += per_step
-        while due >= 1:
-            due -= 1
-            number += 1
-            arrivals[number] = now
-            request = ticket(number, target=now + 0.25, expires=now + 1.5)
-            effects += gate.admit(request, now)
-        for started in outcomes(effects).started:
-            ends[started] = now + 0.1
-        now += step
-    return on_target / number
-
-
-def test_under_overload_most_of_the_capacity_answers_on_target(gate):
-    assert play_overload(gate) > 0.9 / 1.5
-
-
-def test_the_same_load_is_mostly_late_first_in_first_out(first_in_gate):
-    assert play_overload(first_in_gate) < 0.3 / 1.5
-
-
 def test_before_the_configuration_everything_is_refused_as_not_run():
     gate = Gate()
     gate.hear(heartbeat(), 0.0)
--- a/packages/cyclamentally/cyclamentally/tests/test_watching.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_watching.py
@@ -57,7 +57,7 @@
     return StoredItem(key, b"x", revision)
 
 
-FAILED = StoreFailed("status 503", may_have_run=False)
+FAILED = StoreFailed("status 503")
 
 
 def test_pages_are_read_to_the_end_and_watched_from_the_first(sink, clock):
