Serve latency histograms by kind of request

Cause: the users ask for latency histograms; only counters were served. Change: durations from arrival to answer are counted in buckets and rendered by aioprometheus when the metrics are asked for; nothing is imported before.

--- a/packages/cyclamentally-calls/cyclamentally_calls/counters.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/counters.py
@@ -1,21 +1,51 @@
-"""Counts of the data plane, rendered as metrics when they are asked for."""
+"""Counts and durations of the data plane, rendered as metrics on request."""
+
+from bisect import bisect_left
+from itertools import accumulate
 
 PREFIX = "cyclamentally_"
+# Upper bounds in seconds: fine around the targets of both deployments (0.08 to
+# 1.6 s), up to their longest deadline.
+BOUNDS_S = (0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 1.6, 2.5, 5.0, 10.0)
+
+
+class Durations:
+    """Durations counted by `BOUNDS_S`; the last count is beyond all bounds."""
+
+    __slots__ = ("counts", "total_s")
+
+    def __init__(self):
+        self.counts = [0] * (len(BOUNDS_S) + 1)
+        self.total_s = 0.0
+
+    def add(self, seconds):
+        """Count one duration."""
+        self.counts[bisect_left(BOUNDS_S, seconds)] += 1
+        self.total_s += seconds
 
 
 class Counters:
-    """Sums by name and label."""
+    """Sums and durations by name and label."""
 
-    __slots__ = ("sums",)
+    __slots__ = ("durations", "sums")
 
     def __init__(self):
         self.sums = {}
+        self.durations = {}
 
     def add(self, name, label="", amount=1):
         """Add to a sum."""
         key = (name, str(label))
         self.sums[key] = self.sums.get(key, 0) + amount
 
+    def observe(self, name, label, seconds):
+        """Count a duration in seconds."""
+        key = (name, str(label))
+        known = self.durations.get(key)
+        if known is None:
+            known = self.durations[key] = Durations()
+        known.add(seconds)
+
     def take(self, effects):
         """Add the `Count` effects of a decision."""
         for effect in effects:
@@ -34,5 +64,23 @@
                     PREFIX + name, f"Count of {name}.", registry=registry
                 )
             counters[name].add({"reason": label} if label else {}, amount)
+        self._add_durations(registry)
         body, _ = render(registry, [])
         return body
+
+    def _add_durations(self, registry):
+        from aioprometheus import Histogram
+        from aioprometheus.histogram import Histogram as Buckets
+
+        histograms = {}
+        for (name, label), durations in sorted(self.durations.items()):
+            if name not in histograms:
+                histograms[name] = Histogram(
+                    PREFIX + name, f"Seconds of {name}.", registry=registry
+                )
+            buckets = Buckets(*BOUNDS_S)
+            sums = accumulate(durations.counts)
+            buckets.buckets.update(zip(buckets.buckets, sums, strict=True))
+            buckets.sum = durations.total_s
+            buckets.observations = sum(durations.counts)
+            histograms[name].set_value({"kind": label}, buckets)
--- a/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
@@ -365,6 +365,9 @@
         headers = forwarded(answer.headers, PEER_HEADERS)
         self._forget(call)
         self.counters.add("calls_answered_total", answer.status)
+        life = call.life
+        kind = life.rule.kind.name.lower()
+        self.counters.observe("call_seconds", kind, self.loop.clock() - life.arrived)
         self.log.success("answered", status=answer.status, **self._facts(call))
         call.exchange.answer(Answer(answer.status, headers, answer.body))
 
