Move the JSON encoding of bodies out of the decision library

Change: cyclamentally keeps the interface BodyCodec; JsonBodyCodec stands in cyclamentally-platform beside the codec of stored profiles.

--- a/bench/calls.py
+++ b/bench/calls.py
@@ -13,10 +13,10 @@
 from sys import argv
 from threading import Event, Thread
 
+from cyclamentally_platform.bodies import JsonBodyCodec
 from cyclamentally_platform.client import HttpPlatform
 from cyclamentally_platform.stored import JsonStoredCodec
 
-from cyclamentally.bodies import JsonBodyCodec
 from cyclamentally.publishing import Publisher
 from cyclamentally_testing.fleet import Fleet, free_ports, make_hosts
 from cyclamentally_testing.load import Load, Operation, percentile_ms
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -12,7 +12,8 @@
 from random import Random
 from time import process_time
 
-from cyclamentally.bodies import JsonBodyCodec
+from cyclamentally_platform.bodies import JsonBodyCodec
+
 from cyclamentally.control import REBUILDS_PER_S, ControlPlane, Identity
 from cyclamentally.effects import ConfigurationChanged, Send
 from cyclamentally.messages import Beat, MemberDigest, MemberUpdates, Ping, Report
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -14,12 +14,12 @@
 from threading import Event, Thread
 from time import monotonic
 
+from cyclamentally_platform.bodies import JsonBodyCodec
 from cyclamentally_platform.client import HttpPlatform
 from cyclamentally_platform.stored import JsonStoredCodec
 from urllib3 import PoolManager
 from urllib3.exceptions import HTTPError
 
-from cyclamentally.bodies import JsonBodyCodec
 from cyclamentally.errors import Done
 from cyclamentally.publishing import Publisher
 from cyclamentally.records import Record
--- a/bench/spread.py
+++ b/bench/spread.py
@@ -14,10 +14,10 @@
 from threading import Event
 from time import monotonic, time
 
+from cyclamentally_platform.bodies import JsonBodyCodec
 from cyclamentally_platform.client import HttpPlatform
 from cyclamentally_platform.stored import JsonStoredCodec
 
-from cyclamentally.bodies import JsonBodyCodec
 from cyclamentally.errors import Refused
 from cyclamentally.publishing import Publisher
 from cyclamentally_testing.fleet import Fleet, make_hosts
--- a/packages/cyclamentally-cli/cyclamentally_cli/profile_commands.py
+++ b/packages/cyclamentally-cli/cyclamentally_cli/profile_commands.py
@@ -7,6 +7,7 @@
 from typing import Annotated
 from uuid import uuid4
 
+from cyclamentally_platform.bodies import JsonBodyCodec
 from cyclamentally_platform.client import HttpPlatform
 from cyclamentally_platform.stored import JsonStoredCodec
 from cyclopts import App, Parameter
@@ -14,7 +15,6 @@
 from rich.console import Console
 from rich.progress import Progress
 
-from cyclamentally.bodies import JsonBodyCodec
 from cyclamentally.errors import Done, Kind, Refused
 from cyclamentally.profiles import check_profile
 from cyclamentally.publishing import Publisher
--- a/packages/cyclamentally-node/cyclamentally_node/node.py
+++ b/packages/cyclamentally-node/cyclamentally_node/node.py
@@ -4,12 +4,12 @@
 from threading import Event, Thread
 from time import monotonic, time
 
+from cyclamentally_platform.bodies import JsonBodyCodec
 from cyclamentally_platform.client import HttpPlatform
 from cyclamentally_platform.stored import JsonStoredCodec
 
 from cyclamentally.admission import Admission
 from cyclamentally.announcements import Announcements
-from cyclamentally.bodies import JsonBodyCodec
 from cyclamentally.claims import Claimant
 from cyclamentally.control import TICK_S, ControlPlane, Identity
 from cyclamentally.effects import Count
--- a/packages/cyclamentally-node/cyclamentally_node/tests/test_hostile.py
+++ b/packages/cyclamentally-node/cyclamentally_node/tests/test_hostile.py
@@ -2,11 +2,11 @@
 
 from io import BytesIO
 
+from cyclamentally_platform.bodies import JsonBodyCodec
 from cyclamentally_platform.stored import JsonStoredCodec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cyclamentally.bodies import JsonBodyCodec
 from cyclamentally.errors import Done, Refused
 from cyclamentally.keys import parse_key
 from cyclamentally.profiles import SERVICE_LIMITS, check_profile
--- a/packages/cyclamentally-node/cyclamentally_node/tests/test_node.py
+++ b/packages/cyclamentally-node/cyclamentally_node/tests/test_node.py
@@ -6,13 +6,13 @@
 from time import monotonic
 
 import pytest
+from cyclamentally_platform.bodies import JsonBodyCodec
 from cyclamentally_platform.client import HttpPlatform
 from cyclamentally_platform.stored import JsonStoredCodec
 from msgspec.json import encode
 from pynng import Push0
 from urllib3 import PoolManager
 
-from cyclamentally.bodies import JsonBodyCodec
 from cyclamentally.publishing import Publisher
 from cyclamentally_node.node import Node
 from cyclamentally_node.settings import SettingsReader
--- a/packages/cyclamentally-node/cyclamentally_node/tests/test_platform_task.py
+++ b/packages/cyclamentally-node/cyclamentally_node/tests/test_platform_task.py
@@ -3,10 +3,10 @@
 from threading import Event
 
 import pytest
+from cyclamentally_platform.bodies import JsonBodyCodec
 from cyclamentally_platform.stored import JsonStoredCodec
 from pykka import ThreadingActor
 
-from cyclamentally.bodies import JsonBodyCodec
 from cyclamentally.errors import Done, Kind, Refused
 from cyclamentally.platform import Entry, Listing, Platform
 from cyclamentally.publishing import StoredProfile
--- a/packages/cyclamentally/cyclamentally/tests/conftest.py
+++ b/packages/cyclamentally/cyclamentally/tests/conftest.py
@@ -3,8 +3,8 @@
 from random import Random
 
 import pytest
+from cyclamentally_platform.bodies import JsonBodyCodec
 
-from cyclamentally.bodies import JsonBodyCodec
 from cyclamentally.tests.support import Exchange
 from cyclamentally.versions import VersionTable
 
--- a/packages/cyclamentally/cyclamentally/tests/support.py
+++ b/packages/cyclamentally/cyclamentally/tests/support.py
@@ -3,7 +3,8 @@
 from collections import deque
 from random import Random
 
-from cyclamentally.bodies import JsonBodyCodec
+from cyclamentally_platform.bodies import JsonBodyCodec
+
 from cyclamentally.control import TICK_S, ControlPlane, Identity
 from cyclamentally.effects import Send, WatchPlatform
 from cyclamentally.model import Upstream
--- a/packages/cyclamentally/cyclamentally/tests/test_publishing.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_publishing.py
@@ -1,9 +1,9 @@
 from itertools import count
 
 import pytest
+from cyclamentally_platform.bodies import JsonBodyCodec
 from cyclamentally_platform.stored import JsonStoredCodec
 
-from cyclamentally.bodies import JsonBodyCodec
 from cyclamentally.errors import Done, Kind, Refused
 from cyclamentally.platform import PROFILE_PREFIX, Entry, Listing, Platform
 from cyclamentally.publishing import HISTORY_LENGTH, Publisher
--- a/packages/cyclamentally/cyclamentally/tests/test_versions.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_versions.py
@@ -1,6 +1,6 @@
 import pytest
+from cyclamentally_platform.bodies import JsonBodyCodec
 
-from cyclamentally.bodies import JsonBodyCodec
 from cyclamentally.effects import ConfigurationChanged
 from cyclamentally.errors import Done, Kind, Refused
 from cyclamentally.profiles import MAX_BODY_BYTES
--- a/samples/embed.py
+++ b/samples/embed.py
@@ -6,8 +6,9 @@
 
 from random import Random
 
+from cyclamentally_platform.bodies import JsonBodyCodec
+
 from cyclamentally.admission import Admission, Call, Granted
-from cyclamentally.bodies import JsonBodyCodec
 from cyclamentally.chart import ChartLoader
 from cyclamentally.control import TICK_S, ControlPlane, Identity
 from cyclamentally.effects import Send
