Follow hosts by cheap reads; gather changes by the time in force

Change: the watch of hosts allows answers that are seconds late, at a tenth of the price; a gate refuses by itself what its upstream does not take.

--- a/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
@@ -39,6 +39,8 @@
         Time from the request to end until the process is killed, in seconds.
     budget : BudgetRule
         Bound of repeats.
+    in_force_s : float
+        Time within which a configuration has to be in force, in seconds.
     link_bytes_per_s : float or None
         Rate of the host's link; None if it is not known.
     """
@@ -48,6 +50,7 @@
         "callers",
         "control",
         "heartbeat_s",
+        "in_force_s",
         "link_bytes_per_s",
         "place",
         "service",
@@ -67,6 +70,7 @@
         heartbeat_s,
         stop_s,
         budget,
+        in_force_s,
         link_bytes_per_s=None,
     ):
         self.place = place
@@ -78,6 +82,7 @@
         self.heartbeat_s = heartbeat_s
         self.stop_s = stop_s
         self.budget = budget
+        self.in_force_s = in_force_s
         self.link_bytes_per_s = link_bytes_per_s
 
 
@@ -203,6 +208,7 @@
             dialects.config_prefix,
             dialects.decode_routes,
             self.settings.place,
+            self.settings.in_force_s,
             random,
             self.counters,
             self.log,
--- a/packages/cyclamentally-calls/cyclamentally_calls/pacer.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/pacer.py
@@ -68,24 +68,32 @@
         gained = (now - self.updated) * self.uplink.rate
         self.updated = now
         self.tokens = min(2.0 * self.piece, self.tokens + gained)
-        while self.waiting and self.tokens > 0:
-            self._write_piece(self.waiting[0])
+        while self.waiting:
+            write = self.waiting[0]
+            size = min(self.piece, len(write.data))
+            if not write.stream.is_open:
+                self._drop(write)
+            elif size <= self.tokens:
+                self._write_piece(write, size)
+            else:
+                break
         if self.waiting and self.timer is None:
-            delay = max(PIECE_S, -self.tokens / self.uplink.rate)
+            delay = max(PIECE_S, (size - self.tokens) / self.uplink.rate)
             self.timer = self.loop.call_after(delay, self._resume)
 
     def _resume(self):
         self.timer = None
         self._run()
 
-    def _write_piece(self, write):
-        size = min(self.piece, len(write.data))
-        if not write.stream.is_open:
-            size = len(write.data)
-        else:
-            self.tokens -= size
-        piece, write.data = write.data[:size], write.data[size:]
+    def _write_piece(self, write, size):
+        self.tokens -= size
         self.uplink.queued -= size
+        piece, write.data = write.data[:size], write.data[size:]
         if not write.data:
             self.waiting.popleft()
         write.stream.write_paced(piece)
+
+    def _drop(self, write):
+        """Give the link free that a broken connection no longer needs."""
+        self.waiting.popleft()
+        self.uplink.queued -= len(write.data)
--- a/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
@@ -55,6 +55,9 @@
 WATCH_MARGIN_S = 2.0
 # Small against the 2.5 s after which a missing entry counts as absent.
 TICK_S = 0.5
+# Time within which a new host should get requests, in seconds; it counts as left
+# out four seconds after a configuration would be in force.
+HOSTS_KNOWN_S = 1.5
 
 REGISTRATION_EVENTS = {
     LeaseGranted: "lease_granted",
@@ -108,6 +111,8 @@
         Takes stored bytes, returns ``Done`` with a `RouteTable` or ``Refused``.
     place : Place
         This host.
+    in_force_s : float
+        Time within which a configuration has to be in force, in seconds.
     random : random.Random
         Spreads retries.
     counters : Counters
@@ -144,6 +149,7 @@
         config_prefix,
         decode_routes,
         place,
+        in_force_s,
         random,
         counters,
         log,
@@ -162,9 +168,23 @@
         self.peer_learning = PeerLearning()
         self.watches = {
             "routes": Watch(
-                config_prefix, RouteSink(self), random, loop.clock, polls_series=True
+                config_prefix,
+                RouteSink(self),
+                random,
+                loop.clock,
+                in_force_s,
+                polls_series=True,
+            ),
+            # A gate refuses by itself what its upstream does not take, so hosts
+            # may be known late.
+            "hosts": Watch(
+                HOSTS_PREFIX,
+                HostSink(self),
+                random,
+                loop.clock,
+                HOSTS_KNOWN_S,
+                may_be_stale=True,
             ),
-            "hosts": Watch(HOSTS_PREFIX, HostSink(self), random, loop.clock),
         }
         # The one call of each watch that is out, by the watch's prefix.
         self.watching = {}
@@ -338,7 +358,7 @@
                 self._ask(watch, call, CALL_S)
             elif isinstance(effect, AwaitChanges):
                 call = self.dialect.await_changes(
-                    effect.prefix, effect.revision, effect.wait_s
+                    effect.prefix, effect.revision, effect.wait_s, effect.may_be_stale
                 )
                 self._ask(watch, call, effect.wait_s + WATCH_MARGIN_S)
             elif isinstance(effect, Wake):
--- a/packages/cyclamentally/cyclamentally/store_outcomes.py
+++ b/packages/cyclamentally/cyclamentally/store_outcomes.py
@@ -125,8 +125,20 @@
         """Read items below a prefix behind a key: `Page`."""
 
     @abstractmethod
-    def await_changes(self, prefix, revision, wait_s):
-        """Wait for changes after a revision: `Changes` or `HistoryLost`."""
+    def await_changes(self, prefix, revision, wait_s, may_be_stale):
+        """Wait for changes after a revision: `Changes` or `HistoryLost`.
+
+        Parameters
+        ----------
+        prefix : str
+            Beginning of the keys.
+        revision : int
+            Last revision that is known.
+        wait_s : float
+            Longest wait, in seconds.
+        may_be_stale : bool
+            Whether changes may be told seconds late, which is cheaper.
+        """
 
     @abstractmethod
     def grant_lease(self, ttl_s):
--- a/packages/cyclamentally/cyclamentally/tests/test_watching.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_watching.py
@@ -47,7 +47,7 @@
 
 @pytest.fixture
 def watch(sink, clock):
-    watch = Watch("p/", sink, Random(1), clock, polls_series=True)
+    watch = Watch("p/", sink, Random(1), clock, 2.0, polls_series=True)
     watch.begin_listing()
     watch.fire("last_page", Page([item("p/a", 3)], False, 9))
     return watch
@@ -61,7 +61,7 @@
 
 
 def test_pages_are_read_to_the_end_and_watched_from_the_first(sink, clock):
-    watch = Watch("p/", sink, Random(1), clock)
+    watch = Watch("p/", sink, Random(1), clock, 2.0)
     assert watch.begin_listing() == [ReadPage("p/", "")]
     effects = watch.fire("page", Page([item("p/a", 3)], True, 9))
     assert effects == [ReadPage("p/", "p/a")]
@@ -156,3 +156,22 @@
         wake = registration.fire("failed", FAILED)[0]
         assert wake.delay_s <= 1.0
         assert isinstance(registration.fire("retry")[0], AskLease)
+
+
+@pytest.mark.parametrize("may_be_stale", [False, True])
+def test_a_watch_asks_for_stale_changes_only_where_it_may(sink, clock, may_be_stale):
+    watch = Watch("p/", sink, Random(1), clock, 2.0, may_be_stale=may_be_stale)
+    watch.begin_listing()
+    effects = watch.fire("last_page", Page([], False, 9))
+    assert [e.may_be_stale for e in effects] == [may_be_stale]
+
+
+@pytest.mark.parametrize("in_force_s", [1.0, 2.0, 3.0])
+def test_changes_are_gathered_for_less_than_half_the_time_in_force(
+    sink, clock, in_force_s
+):
+    watch = Watch("p/", sink, Random(1), clock, in_force_s)
+    watch.begin_listing()
+    watch.fire("last_page", Page([], False, 9))
+    (wake,) = watch.fire("changes", Changes([item("p/b", 10)], 10))
+    assert 0.3 * in_force_s < wake.delay_s < 0.5 * in_force_s
--- a/packages/cyclamentally/cyclamentally/watching.py
+++ b/packages/cyclamentally/cyclamentally/watching.py
@@ -10,9 +10,9 @@
 
 # Longest wait of one call; the store allows 30 s.
 WATCH_S = 25.0
-# Changes that follow one another within this time cost one call, in seconds;
-# well under the two seconds within which a change has to be in force.
-GATHER_S = 0.7
+# Changes that follow one another within this share of the time in which a change
+# has to be in force cost one call; the rest is for the call itself.
+GATHER_SHARE = 0.45
 # A change this soon after the one before makes a series, in seconds.
 SERIES_S = 2.0
 
@@ -28,14 +28,27 @@
 
 
 class AwaitChanges(Record):
-    """Effect: wait at the store for changes after a revision."""
+    """Effect: wait at the store for changes after a revision.
 
-    __slots__ = ("prefix", "revision", "wait_s")
+    Parameters
+    ----------
+    prefix : str
+        Beginning of the keys.
+    revision : int
+        Last revision that is known.
+    wait_s : float
+        Longest wait, in seconds.
+    may_be_stale : bool
+        Whether changes may be told seconds late, which is cheaper.
+    """
+
+    __slots__ = ("prefix", "revision", "wait_s", "may_be_stale")
 
-    def __init__(self, prefix, revision, wait_s):
+    def __init__(self, prefix, revision, wait_s, may_be_stale=False):
         self.prefix = prefix
         self.revision = revision
         self.wait_s = wait_s
+        self.may_be_stale = may_be_stale
 
 
 class WatchSink(ABC):
@@ -66,16 +79,22 @@
         Spreads the retries of many nodes.
     clock : callable
         Returns the time in seconds.
+    in_force_s : float
+        Time within which a change has to be known, in seconds.
     polls_series : bool
         Whether a series of changes is followed by reading the newest items;
         cheaper where items are large and replace one another.
+    may_be_stale : bool
+        Whether changes may be told seconds late, which is cheaper.
     """
 
     __slots__ = (
         "backoff",
         "changed_at",
         "clock",
+        "gather_s",
         "items",
+        "may_be_stale",
         "polls_series",
         "prefix",
         "revision",
@@ -86,8 +105,19 @@
         "state",
     )
 
-    def __init__(self, prefix, sink, random, clock, polls_series=False):
+    def __init__(
+        self,
+        prefix,
+        sink,
+        random,
+        clock,
+        in_force_s,
+        polls_series=False,
+        may_be_stale=False,
+    ):
         self.clock = clock
+        self.gather_s = GATHER_SHARE * in_force_s
+        self.may_be_stale = may_be_stale
         self.polls_series = polls_series
         self.changed_at = None
         self.series = False
@@ -133,7 +163,7 @@
 
     def watch(self, message):
         """Wait for changes after the last known revision."""
-        return [AwaitChanges(self.prefix, self.revision, WATCH_S)]
+        return [AwaitChanges(self.prefix, self.revision, WATCH_S, self.may_be_stale)]
 
     def has_changes(self, changes):
         """Whether an answer names changes."""
@@ -161,7 +191,7 @@
 
     def gather(self, message):
         """Wait a little before the next call."""
-        return [Wake("retry", GATHER_S)]
+        return [Wake("retry", self.gather_s)]
 
     def pause(self, message):
         """Try again soon, at a random moment."""
