Read a series of changes at its newest from the second look on

Change: several changes in one answer make a series, and so does one within 5 s; changes are gathered for 0.35 of the time in force (0.7 and 1.05 s).

--- a/packages/cyclamentally/cyclamentally/watching.py
+++ b/packages/cyclamentally/cyclamentally/watching.py
@@ -12,9 +12,10 @@
 WATCH_S = 25.0
 # Changes that follow one another within this share of the time in which a change
 # has to be in force cost one call; the rest is for the call itself.
-GATHER_SHARE = 0.45
-# A change this soon after the one before makes a series, in seconds.
-SERIES_S = 2.0
+GATHER_SHARE = 0.35
+# A change this soon after the one before makes a series, in seconds: longer than
+# the changes are gathered, and than an answer with several items takes.
+SERIES_S = 5.0
 
 
 class ReadPage(Record):
@@ -176,7 +177,8 @@
         if changes.changes:
             now = self.clock()
             last, self.changed_at = self.changed_at, now
-            self.series = last is not None and now - last < SERIES_S
+            follows = last is not None and now - last < SERIES_S
+            self.series = follows or len(changes.changes) > 1
             self._see(changes.changes)
             self.sink.on_changes(changes.changes)
 
