Count small answers in the link's time; ask a store that is down less often

Cause: (1) the link was expected to carry large answers at three quarters of its rate, while small ones took a third of that: downloads were admitted too late to be in time. (2) Every loop of a node tried a store that was down twice a second. Change: (1) the mean rate of small answers is taken off, 0.85 of the link may be filled, and the way over the caller's own link is counted.

--- a/packages/cyclamentally-calls/cyclamentally_calls/calls.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/calls.py
@@ -61,3 +61,11 @@
 def refusal_facts(refusal, known):
     """Return the reason of a refusal; `known` counts the upstreams listed."""
     return {"kind": refusal.kind, "detail": refusal.detail, "known": known}
+
+
+def count_answer(counters, call, status, now):
+    """Count an answer by its status, and its time by the kind of its route."""
+    life = call.life
+    counters.add("calls_answered_total", status)
+    kind = life.rule.kind.name.lower()
+    counters.observe("call_seconds", kind, now - life.arrived)
--- a/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
@@ -11,7 +11,7 @@
     time_over,
 )
 from cyclamentally.placing import pause_after
-from cyclamentally.routes import CallerLimits
+from cyclamentally.routes import FIRST_LIMITS
 from cyclamentally_calls.call_events import (
     CallersLeft,
     HostFailed,
@@ -30,7 +30,13 @@
     forwarded_headers,
     refusal_answer,
 )
-from cyclamentally_calls.calls import Call, call_facts, refusal_facts, request_id_of
+from cyclamentally_calls.calls import (
+    Call,
+    call_facts,
+    count_answer,
+    refusal_facts,
+    request_id_of,
+)
 from cyclamentally_calls.client_connection import ConnectionPool, Sending
 from cyclamentally_calls.http_codec import Answer, forwarded
 from cyclamentally_calls.loop import Task
@@ -50,8 +56,6 @@
 )
 from cyclamentally_calls.stream import Listener
 
-# Before the first configuration; generous, since nothing is known yet.
-FIRST_LIMITS = CallerLimits(64 * 1024, 64 * 1024 * 1024, 5.0, 30.0)
 # Longest round trip between regions (17 ms) with one lost opening packet.
 CONNECT_S = 0.25
 # A host that acknowledges nothing for this long is cut off or has no power.
@@ -217,11 +221,7 @@
             return
         call.life.fire("caller_gone")
         self.counters.add("calls_abandoned_total")
-        self.log.success(
-            "caller_gone",
-            id=request_id_of(call.exchange.request, self.names),
-            route=call.life.rule.name,
-        )
+        self.log.success("caller_gone", **self._facts(call))
         self._withdraw(call)
         self._forget(call)
 
@@ -364,10 +364,7 @@
     def _answer(self, call, answer):
         headers = forwarded(answer.headers, PEER_HEADERS)
         self._forget(call)
-        self.counters.add("calls_answered_total", answer.status)
-        life = call.life
-        kind = life.rule.kind.name.lower()
-        self.counters.observe("call_seconds", kind, self.loop.clock() - life.arrived)
+        count_answer(self.counters, call, answer.status, self.loop.clock())
         self.log.success("answered", status=answer.status, **self._facts(call))
         call.exchange.answer(Answer(answer.status, headers, answer.body))
 
--- a/packages/cyclamentally-calls/cyclamentally_calls/pacer.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/pacer.py
@@ -49,7 +49,9 @@
         if self.uplink.rate is None:
             stream.write(data)
         elif len(data) < LARGE_BYTES and not stream.paced:
-            self.tokens -= len(data)
+            # A flood of small answers does not keep the large ones back for long.
+            self.tokens = max(-2.0 * self.piece, self.tokens - len(data))
+            self.uplink.note_small(len(data), self.loop.clock())
             stream.write(data)
         else:
             stream.paced += len(data)
--- a/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
@@ -74,26 +74,6 @@
 }
 
 
-class Place:
-    """Who and where a node is.
-
-    Parameters
-    ----------
-    name, domain, region : str
-        Host, failure domain, region.
-    address : str
-        ``IP:port`` for other nodes.
-    """
-
-    __slots__ = ("address", "domain", "name", "region")
-
-    def __init__(self, name, domain, region, address):
-        self.name = name
-        self.domain = domain
-        self.region = region
-        self.address = address
-
-
 class StoreTask(Task):
     """Follow configuration and hosts; keep this host listed.
 
@@ -361,10 +341,19 @@
                     effect.prefix, effect.revision, effect.wait_s, effect.may_be_stale
                 )
                 self._ask(watch, call, effect.wait_s + WATCH_MARGIN_S)
-            elif isinstance(effect, Wake):
+            elif isinstance(effect, Wake) and not self._awaits_return(watch):
                 fire = partial(self._fire_watch, watch)
                 self._wake(watch.prefix, effect, fire)
 
+    def _awaits_return(self, watch):
+        """Whether a failed watch leaves it to another one to try the store.
+
+        Calls to a store that is down are priced as well, and its return is
+        reported to all.
+        """
+        routes = self.watches["routes"]
+        return watch is not routes and watch.state == routes.state == "pausing"
+
     def _ask(self, watch, call, limit):
         """Make the call of a watch; an earlier one of it is given up."""
         earlier = self.watching.get(watch.prefix)
@@ -399,6 +388,8 @@
         for watch in self.watches.values():
             if watch.state != "listing":
                 self._fire_watch(watch, "store_returned")
+        if self.registration.state in ("pausing", "renewing"):
+            self._register("retry")
 
     def _tick(self):
         available_since = self.link.health.available_since
--- a/packages/cyclamentally/cyclamentally/routes.py
+++ b/packages/cyclamentally/cyclamentally/routes.py
@@ -127,6 +127,10 @@
         self.idle_s = idle_s
 
 
+# Before the first configuration; generous, since nothing is known yet.
+FIRST_LIMITS = CallerLimits(64 * 1024, 64 * 1024 * 1024, 5.0, 30.0)
+
+
 class RouteTable(Record):
     """A whole configuration of routes; replaced as one.
 
--- a/packages/cyclamentally/cyclamentally/tests/test_uplink.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_uplink.py
@@ -3,12 +3,12 @@
 from cyclamentally.errors import Kind
 from cyclamentally.gate import Gate
 from cyclamentally.gate_messages import Heartbeat, RefuseWork, StartWork, Ticket
-from cyclamentally.uplink import LARGE_BYTES, LARGE_SHARE, Uplink
+from cyclamentally.uplink import ANSWERS_SHARE, LARGE_BYTES, Uplink
 
-# The slowest links of the users: 4.5 Mbit/s; large answers may fill three quarters.
+# The slowest links of the users: 4.5 Mbit/s; answers may fill most of it.
 SLOW = 4_500_000 / 8
 DOWNLOAD = 90_000
-SECONDS_EACH = DOWNLOAD / (SLOW * LARGE_SHARE)
+SECONDS_EACH = DOWNLOAD / (SLOW * ANSWERS_SHARE)
 TARGET_S = 1.2
 SERVICE_S = 0.18
 
@@ -56,6 +56,20 @@
     assert not uplink.is_full("lookup", 0.0)
 
 
+def test_small_answers_leave_less_of_the_link_to_large_ones(uplink):
+    """A third of the rate in small answers makes the rest half as slow again."""
+    step = 0.01
+    for n in range(1_000):
+        uplink.note_small(uplink.rate / 3 * step, n * step)
+    assert uplink.delay("bundle") == pytest.approx(1.5 * SECONDS_EACH, rel=0.05)
+
+
+def test_small_answers_that_have_ended_are_forgotten(uplink):
+    uplink.note_small(uplink.rate * 10, 0.0)
+    uplink.note_small(1, 60.0)
+    assert uplink.delay("bundle") == pytest.approx(SECONDS_EACH, rel=0.01)
+
+
 def test_a_link_of_unknown_rate_bounds_nothing():
     uplink = Uplink()
     uplink.learn("bundle", DOWNLOAD)
@@ -72,7 +86,8 @@
 def test_downloads_beyond_the_link_are_refused_at_once_and_calls_are_not(gate):
     found = [kinds(gate.admit(ticket(n, 0.0), 0.0)) for n in range(8)]
     accepted = found.count([])
-    assert 1 < accepted * SECONDS_EACH + SERVICE_S <= TARGET_S + SECONDS_EACH
+    assert accepted > 1
+    assert (accepted + 1) * SECONDS_EACH + SERVICE_S <= TARGET_S
     assert found[accepted:] == [[Kind.LINK_FULL]] * (8 - accepted)
     started = gate.admit(ticket(9, 0.0, "lookup"), 0.0)
     assert [e.number for e in started if isinstance(e, StartWork)] == [9]
--- a/packages/cyclamentally/cyclamentally/uplink.py
+++ b/packages/cyclamentally/cyclamentally/uplink.py
@@ -1,10 +1,16 @@
 """The link of a host as a resource that large answers share."""
 
+from math import exp
+
 # An answer of this many bytes takes 0.06 s on the slowest links (4.5 Mbit/s).
 LARGE_BYTES = 32 * 1024
-# The part of a link that large answers may fill; the rest carries small answers,
-# heartbeats and the store's items without a wait.
-LARGE_SHARE = 0.75
+# The part of a link that answers to other nodes may fill; the rest carries own
+# requests, heartbeats and the store's items without a wait.
+ANSWERS_SHARE = 0.85
+# Small answers go first; at least this part of it is counted on for large ones.
+LEAST_LARGE_SHARE = 0.1
+# Time over which the bytes of small answers are averaged, in seconds.
+SMALL_AVERAGE_S = 2.0
 # Share of the newest answer in a route's usual size.
 SIZE_WEIGHT = 0.15
 # Bounds the memory of sizes; configurations have up to 2,000 routes.
@@ -23,10 +29,13 @@
         Rate of the link; None if it is not known, which bounds nothing.
     """
 
-    __slots__ = ("queued", "rate", "reserved", "sizes")
+    __slots__ = ("queued", "rate", "reserved", "sizes", "small_at", "small_per_s")
 
     def __init__(self, bytes_per_s=None):
-        self.rate = bytes_per_s and LARGE_SHARE * bytes_per_s
+        self.rate = bytes_per_s and ANSWERS_SHARE * bytes_per_s
+        # Bytes of small answers a second, and when that was brought up to date.
+        self.small_per_s = 0.0
+        self.small_at = 0.0
         # Bytes of large answers that have not been written yet.
         self.queued = 0
         # Expected bytes by the number of each admitted request.
@@ -42,6 +51,12 @@
             return
         self.sizes[route] = known + SIZE_WEIGHT * (size - known)
 
+    def note_small(self, size, now):
+        """Take in a small answer, which goes before the large ones."""
+        kept = exp((self.small_at - now) / SMALL_AVERAGE_S)
+        self.small_per_s = self.small_per_s * kept + size / SMALL_AVERAGE_S
+        self.small_at = now
+
     def reserve(self, number, route):
         """Count the answer to an admitted request, if it will be large."""
         if self.is_large(route):
@@ -63,11 +78,14 @@
         if not self.is_large(route):
             return 0.0
         ahead = self.queued + sum(self.reserved.values())
-        return (ahead + self.sizes[route]) / self.rate
+        left = max(LEAST_LARGE_SHARE * self.rate, self.rate - self.small_per_s)
+        return (ahead + self.sizes[route]) / left
 
     def is_full(self, route, left_s):
         """Whether one more answer would miss its target for the link's sake.
 
+        The host of the caller passes it on over a link like this one.
+
         Parameters
         ----------
         route : str
@@ -75,4 +93,8 @@
         left_s : float
             Time until its target, without that of its run, in seconds.
         """
-        return self.delay(route) > max(left_s, LEAST_WAIT_S)
+        delay = self.delay(route)
+        if delay == 0.0:
+            return False
+        passed_on_s = self.sizes[route] / self.rate
+        return delay + passed_on_s > max(left_s, LEAST_WAIT_S + passed_on_s)
