Answer callers of the product's own interface on the event loop

Change: CallsTask owns the sockets of callers and to upstreams, and the slots; it uses ServerConnection, ConnectionPool and the HTTP codec of the other path. front, runner, upstream_client, connections, admission_task, keyed and watcher are gone, and with them a message and a future for each attempt. waitress serves operators, urllib3 the platform's client. HEAD keeps the length that the upstream named, on both paths. calls.in_flight replaces calls.threads.

--- a/packages/cyclamentally-calls/cyclamentally_calls/http_codec.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/http_codec.py
@@ -96,11 +96,16 @@
         Pairs of name and value, in order.
     body : bytes
         Whole body.
+    keeps_open : bool
+        Whether the connection may be used again.
+    length : int, optional
+        Length that the headers named; the answer to a HEAD has no other.
     """
 
-    __slots__ = ("body", "headers", "index", "keeps_open", "status")
+    __slots__ = ("body", "headers", "index", "keeps_open", "length", "status")
 
-    def __init__(self, status, headers, body, keeps_open=True):
+    def __init__(self, status, headers, body, keeps_open=True, length=None):
+        self.length = length
         self.status = status
         self.headers = headers
         self.body = body
@@ -300,7 +305,10 @@
         status = self.parser.get_status_code()
         if status >= FIRST_FINAL_STATUS:
             body = b"".join(self.body)
-            self.sink.on_answer(Answer(status, self.headers, body, keeps_open))
+            answer = Answer(status, self.headers, body, keeps_open)
+            length = answer.find(b"content-length")
+            answer.length = int(length) if length.isdigit() else None
+            self.sink.on_answer(answer)
 
 
 def forwarded(headers, left_out):
@@ -354,7 +362,9 @@
     parts = [b"HTTP/1.1 %d %s\r\n" % (answer.status, reason)]
     _add_headers(parts, answer.headers)
     if answer.status not in STATUSES_WITHOUT_BODY:
-        parts.append(b"Content-Length: %d\r\n" % len(answer.body))
+        has_named = is_head and answer.length is not None
+        length = answer.length if has_named else len(answer.body)
+        parts.append(b"Content-Length: %d\r\n" % length)
     if closes:
         parts.append(b"Connection: close\r\n")
     elif keep_alive_s is not None:
--- a/packages/cyclamentally-calls/cyclamentally_calls/origins.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/origins.py
@@ -51,7 +51,10 @@
         if isinstance(outcome, Done):
             answer = outcome.value
             headers = [*answer.headers, encode_load(load)]
-            self.exchange.answer(Answer(answer.status, headers, answer.body))
+            passed_on = Answer(
+                answer.status, headers, answer.body, length=answer.length
+            )
+            self.exchange.answer(passed_on)
             return
         headers = [encode_refusal(outcome), encode_load(load)]
         echo = self.exchange.request.find(self.id_name.lower)
--- a/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
@@ -366,7 +366,8 @@
         self._forget(call)
         count_answer(self.counters, call, answer.status, self.loop.clock())
         self.log.success("answered", status=answer.status, **self._facts(call))
-        call.exchange.answer(Answer(answer.status, headers, answer.body))
+        length = answer.length
+        call.exchange.answer(Answer(answer.status, headers, answer.body, length=length))
 
     def _refuse(self, exchange, refusal):
         self.log.write(
--- a/packages/cyclamentally-calls/cyclamentally_calls/outcomes.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/outcomes.py
@@ -21,7 +21,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Lost:
-    """The request was sent and got no whole answer: it may have run."""
+    """The request was sent and got no whole answer: it may have run.
+
+    Parameters
+    ----------
+    detail : str
+        Reason.
+    is_timeout : bool
+        Whether its time was over.
+    is_partial : bool
+        Whether the beginning of an answer had come.
+    """
 
     detail: str
     is_timeout: bool = False
+    is_partial: bool = False
--- a/packages/cyclamentally-calls/cyclamentally_calls/upstream_codec.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/upstream_codec.py
@@ -61,4 +61,4 @@
     if HTTP_OK <= answer.status < FIRST_REDIRECT and not is_signed:
         return Refused(Kind.UPSTREAM_TRUNCATED, "a success without signature")
     headers = forwarded(answer.headers, PEER_HEADERS)
-    return Done(Answer(answer.status, headers, answer.body))
+    return Done(Answer(answer.status, headers, answer.body, length=answer.length))
--- a/packages/cyclamentally-node/cyclamentally_node/admin.py
+++ b/packages/cyclamentally-node/cyclamentally_node/admin.py
@@ -7,6 +7,8 @@
 from cyclamentally.errors import Done, Kind, Refused
 from cyclamentally.model import Upstream
 from cyclamentally.records import Record
+from cyclamentally_calls.http_codec import REASONS, Answer
+from cyclamentally_node.caller_request import refusal_answer
 from cyclamentally_node.events import (
     Announce,
     CollectStatus,
@@ -14,12 +16,12 @@
     RenderMetrics,
     Withdraw,
 )
-from cyclamentally_node.exchange import UpstreamAnswer, refusal_answer
 from cyclamentally_node.settings import is_address
 
 MAX_BODY_BYTES = 10_000
 STATUS_TIMEOUT_S = 3.0
 UPSTREAM_PATH = "/upstreams/"
+HTTP_OK = 200
 
 
 class Admin:
@@ -40,11 +42,16 @@
     def __call__(self, environ, start_response):
         """Answer a WSGI request."""
         answer = self.answer(environ)
-        start_response(answer.status, answer.headers)
-        return answer.body
+        reason = REASONS.get(answer.status, b"Status").decode()
+        headers = [
+            (n.decode("latin-1"), v.decode("latin-1")) for n, v in answer.headers
+        ]
+        headers.append(("Content-Length", str(len(answer.body))))
+        start_response(f"{answer.status} {reason}", headers)
+        return [answer.body]
 
     def answer(self, environ):
-        """Return the `UpstreamAnswer` for a WSGI environment."""
+        """Return the `Answer` for a WSGI environment."""
         method = environ["REQUEST_METHOD"]
         path = environ["PATH_INFO"]
         if path.startswith(UPSTREAM_PATH) and method in ("PUT", "DELETE"):
@@ -62,9 +69,8 @@
     def _metrics(self, environ):
         accepts = [environ.get("HTTP_ACCEPT", "text/plain")]
         body, headers = self.meters.ask(RenderMetrics(accepts))
-        pairs = [(str(name), str(value)) for name, value in headers.items()]
-        pairs.append(("Content-Length", str(len(body))))
-        return UpstreamAnswer("200 OK", pairs, [body])
+        pairs = [(str(n).encode(), str(v).encode()) for n, v in headers.items()]
+        return Answer(HTTP_OK, pairs, body)
 
     def _status(self):
         future = ThreadingFuture()
@@ -123,11 +129,7 @@
 
 def _json_answer(document):
     body = encode(document, enc_hook=_as_table)
-    headers = [
-        ("Content-Type", "application/json"),
-        ("Content-Length", str(len(body))),
-    ]
-    return UpstreamAnswer("200 OK", headers, [body])
+    return Answer(HTTP_OK, [(b"Content-Type", b"application/json")], body)
 
 
 def _as_table(value):
--- /dev/null
+++ b/packages/cyclamentally-node/cyclamentally_node/caller_request.py
@@ -0,0 +1,124 @@
+"""A request of a caller, and the answers of this node's own making."""
+
+from cyclamentally.errors import Done, Kind, Refused
+from cyclamentally.quarantine import fingerprint_of
+from cyclamentally.records import Record
+from cyclamentally_calls.http_codec import Answer, encode_request, forwarded
+
+IDEMPOTENT_METHODS = {b"GET", b"HEAD", b"OPTIONS", b"PUT", b"DELETE", b"TRACE"}
+DEADLINE_HEADER = b"Cyclamentally-Deadline-Ms"
+RAN_HEADER = b"Cyclamentally-Ran"
+REASON_HEADER = b"Cyclamentally-Reason"
+RETRIED_HEADER = b"Cyclamentally-Retried"
+REPEATED_HEADER = b"Cyclamentally-Repeated"
+KEY_HEADER = b"Idempotency-Key"
+SET_HERE = frozenset([DEADLINE_HEADER.lower()])
+NO_HEADERS = frozenset()
+STATUSES_WITHOUT_BODY = (204, 304)
+SHED_STATUSES = (429, 503)
+MS = 1_000
+
+
+class CallerRequest(Record):
+    """A request as a caller sent it.
+
+    Parameters
+    ----------
+    request : Request
+        The HTTP request.
+    deadline_ms : int or None
+        Time that the caller gives, ms.
+    """
+
+    __slots__ = ("request", "deadline_ms", "fingerprint", "key", "target")
+
+    def __init__(self, request, deadline_ms):
+        self.request = request
+        self.deadline_ms = deadline_ms
+        self.target = request.target.decode("latin-1")
+        method = request.method.decode("latin-1")
+        self.fingerprint = fingerprint_of(method, self.target, request.body)
+        # Idempotency key; empty if there is none.
+        self.key = request.find(KEY_HEADER.lower()).decode("latin-1")
+
+    @property
+    def is_idempotent(self):
+        """Whether the request may run more than once."""
+        return self.request.method in IDEMPOTENT_METHODS
+
+    @property
+    def is_head(self):
+        """Whether the answer has no body whatever its headers say."""
+        return self.request.method == b"HEAD"
+
+    def allowed_ms(self, timeout_ms):
+        """Return the time for the request, given that of the service, in ms."""
+        if self.deadline_ms is None:
+            return timeout_ms
+        return min(timeout_ms, self.deadline_ms)
+
+    def encode(self, left_s):
+        """Return the bytes for an upstream.
+
+        Parameters
+        ----------
+        left_s : float
+            Time that the caller goes on waiting, in seconds.
+        """
+        request = self.request
+        headers = forwarded(request.headers, SET_HERE)
+        headers.append((DEADLINE_HEADER, b"%d" % max(1, int(left_s * MS))))
+        return encode_request(
+            request.method, request.target, headers, request.body, request.has_body
+        )
+
+
+def read_request(request):
+    """Return ``Done`` with the `CallerRequest` of an HTTP request, or ``Refused``."""
+    text = request.find(DEADLINE_HEADER.lower())
+    if text and not text.isdigit():
+        detail = f"{DEADLINE_HEADER.decode()}: not a whole number"
+        return Refused(Kind.BAD_REQUEST, detail)
+    return Done(CallerRequest(request, int(text) if text else None))
+
+
+def judge_answer(answer, is_head, address):
+    """Return ``Done`` with what may be passed on of an answer, or ``Refused``.
+
+    Parameters
+    ----------
+    answer : Answer
+        The whole answer of an upstream.
+    is_head : bool
+        Whether the request was a HEAD.
+    address : str
+        ``IP:port`` of the upstream.
+    """
+    has_end = is_head or answer.status in STATUSES_WITHOUT_BODY
+    if not has_end and not (
+        answer.find(b"content-length") or answer.find(b"transfer-encoding")
+    ):
+        detail = f"{address}: the answer has no length, so it may be cut"
+        return Refused(Kind.UPSTREAM_TRUNCATED, detail)
+    sheds = answer.status in SHED_STATUSES
+    if sheds and answer.find(RAN_HEADER.lower()) == b"no":
+        is_final = bool(answer.find(RETRIED_HEADER.lower()))
+        detail = f"{address} sheds load"
+        return Refused(Kind.UPSTREAM_OVERLOADED, detail, is_final=is_final)
+    headers = forwarded(answer.headers, NO_HEADERS)
+    return Done(Answer(answer.status, headers, answer.body, length=answer.length))
+
+
+def refusal_answer(refusal):
+    """Return the `Answer` of a refusal."""
+    answer = refusal.answer
+    headers = [
+        (b"Content-Type", b"text/plain; charset=utf-8"),
+        (REASON_HEADER, str(refusal.kind).encode()),
+        (RAN_HEADER, str(answer.ran).encode()),
+        (RETRIED_HEADER, b"1"),
+    ]
+    if answer.retry_after is not None:
+        headers.append((b"Retry-After", b"%d" % answer.retry_after))
+    body = f"{refusal.kind}: {refusal.detail}\n".encode()
+    return Answer(answer.status, headers, body)
--- /dev/null
+++ b/packages/cyclamentally-node/cyclamentally_node/calls_task.py
@@ -0,0 +1,427 @@
+"""The task that answers callers and owns slots, queues and connections."""
+
+from functools import partial
+from itertools import count
+from uuid import uuid4
+
+from absl.logging import get_absl_logger
+
+from cyclamentally.admission import Denied, Granted
+from cyclamentally.effects import Count, StateChanged
+from cyclamentally.errors import ANSWERS, Kind, Ran, Refused
+from cyclamentally.idempotency import GRANTED, REPEATED
+from cyclamentally.model import CrashMark
+from cyclamentally.retries import Failure, RequestLife, no_route
+from cyclamentally.snapshot import EMPTY_SNAPSHOT
+from cyclamentally_calls.client_connection import ConnectionPool, Sending
+from cyclamentally_calls.loop import Task
+from cyclamentally_calls.outcomes import Answered, NotSent
+from cyclamentally_calls.server_connection import RequestHandler, ServerConnection
+from cyclamentally_calls.stream import Listener
+from cyclamentally_node.caller_request import (
+    IDEMPOTENT_METHODS,
+    judge_answer,
+    read_request,
+    refusal_answer,
+)
+from cyclamentally_node.events import (
+    AskClaim,
+    ClaimJudged,
+    Counted,
+    CountInFlight,
+    CrashSeen,
+    ForgetClaim,
+    ReportClaim,
+    ServingChanged,
+    SnapshotReplaced,
+    StopCalls,
+    SuspectAnswered,
+    SuspectsReplaced,
+)
+from cyclamentally_node.kept_answers import keep_answer, repeat_answer
+
+logger = get_absl_logger()
+
+MS = 1_000.0
+# Queued requests are refused this long after their time is over, at the latest.
+TICK_S = 0.05
+CONNECT_S = 0.5
+# Below the idle limits of usual servers.
+IDLE_S = 20.0
+# Longest wait for the owner of an idempotency key, in seconds.
+CLAIM_S = 0.5
+KINDS = {str(kind): kind for kind in Kind}
+
+
+class NodeCall:
+    """A request of a caller and what is out for it.
+
+    Parameters
+    ----------
+    exchange : Exchange
+        Where the answer goes.
+    request : CallerRequest
+        The request.
+    life : RequestLife
+        Decisions.
+    """
+
+    __slots__ = ("exchange", "is_claimed", "life", "request", "sending", "ticket")
+
+    def __init__(self, exchange, request, life):
+        self.exchange = exchange
+        self.request = request
+        self.life = life
+        self.sending = None
+        # Names the try at the owner of the idempotency key; empty without a key.
+        self.ticket = ""
+        self.is_claimed = False
+
+
+class CallsTask(Task, RequestHandler):
+    """Answer callers by way of the upstreams of the snapshot in force.
+
+    Parameters
+    ----------
+    loop : Loop
+        Event loop.
+    mailbox : CallsLoop
+        Reaches this task from other threads.
+    address : str
+        ``IP:port`` for callers.
+    limits : CallerLimits
+        Bounds for callers.
+    max_calls : int
+        Requests that are handled at once.
+    admission : Admission
+        Decisions on slots, queues and upstreams, owned by this task.
+    claims, control, meters : pykka.ActorRef
+        Tasks that own keys, spread crash marks and count.
+    """
+
+    __slots__ = (
+        "admission",
+        "by_exchange",
+        "calls",
+        "claims",
+        "connections",
+        "control",
+        "counts",
+        "is_ready",
+        "is_stopping",
+        "limits",
+        "listener",
+        "loop",
+        "mailbox",
+        "max_calls",
+        "meters",
+        "numbers",
+        "pool",
+        "snapshot",
+        "suspects",
+        "timer",
+    )
+
+    def __init__(
+        self,
+        loop,
+        mailbox,
+        address,
+        limits,
+        max_calls,
+        admission,
+        claims,
+        control,
+        meters,
+    ):
+        self.loop = loop
+        self.mailbox = mailbox
+        self.limits = limits
+        self.max_calls = max_calls
+        self.admission = admission
+        self.claims = claims
+        self.control = control
+        self.meters = meters
+        self.listener = Listener(loop, address, self._accept, _log_accept_failure)
+        self.pool = ConnectionPool(loop, IDLE_S, CONNECT_S, 0.0)
+        self.connections = set()
+        self.numbers = count(1)
+        self.calls = {}
+        self.by_exchange = {}
+        self.counts = []
+        self.snapshot = EMPTY_SNAPSHOT
+        self.suspects = SuspectsReplaced(frozenset(), frozenset())
+        self.is_ready = False
+        self.is_stopping = False
+        self.timer = None
+
+    def start(self):
+        """Take requests of callers."""
+        self.listener.start()
+        self.timer = self.loop.call_after(TICK_S, self._tick)
+
+    def close(self):
+        """Close all sockets."""
+        self.timer.cancel()
+        self.listener.close()
+        for connection in list(self.connections):
+            connection.fire("ended")
+        self.pool.close()
+
+    def receive(self, message):
+        """Handle the messages of the other tasks."""
+        if isinstance(message, SnapshotReplaced):
+            self._replace_snapshot(message.snapshot)
+        elif isinstance(message, SuspectsReplaced):
+            self.suspects = message
+        elif isinstance(message, ServingChanged):
+            self.is_ready = message.is_ready
+        elif isinstance(message, StopCalls):
+            self.is_stopping = True
+        elif isinstance(message, ClaimJudged):
+            call = self.calls.get(message.number)
+            if call is not None and not call.is_claimed:
+                self._take_verdict(call, message.verdict)
+        elif isinstance(message, CountInFlight):
+            unsent = sum(c.has_unsent() for c in self.connections)
+            message.future.set(len(self.calls) + unsent)
+
+    # Requests of callers.
+
+    def on_request(self, exchange):
+        """Check a request, claim its key if it has one, and seek a slot."""
+        checked = self._check(exchange.request)
+        if isinstance(checked, Refused):
+            exchange.answer(self.refuse(exchange.request, checked))
+            return
+        request = checked.value
+        route = self.snapshot.find_route(request.target)
+        policy = self.snapshot.clusters[route.service].policy
+        allowed = request.allowed_ms(policy.timeout_ms)
+        deadline = self.loop.clock() + allowed / MS
+        number = next(self.numbers)
+        life = RequestLife(number, route, policy, request.is_idempotent, deadline)
+        call = NodeCall(exchange, request, life)
+        self.calls[number] = call
+        self.by_exchange[exchange] = call
+        if request.key and not request.is_idempotent:
+            self._claim(call, int(allowed))
+        else:
+            self._seek_slot(call)
+
+    def on_gone(self, exchange):
+        """Give up a request whose caller has left."""
+        call = self.by_exchange.get(exchange)
+        if call is None:
+            return
+        number = call.life.number
+        ran = "not_run"
+        if call.sending is not None:
+            call.sending.cancel()
+            ran = "unknown"
+        effects = self.admission.cancel(number)
+        effects += self.admission.finish(number, Kind.CANCELLED, self.loop.clock())
+        self._report(call, ran, None)
+        self._forget(call)
+        self._carry_out(effects)
+
+    def on_closed(self, connection):
+        """Forget a connection."""
+        self.connections.discard(connection)
+
+    def may_overtake(self, request):
+        """Whether a request may run twice, and so need not wait its turn."""
+        return request.method in IDEMPOTENT_METHODS
+
+    def refuse(self, request, refusal):
+        """Return the answer to a request that got no further, and count it."""
+        self.counts.append(Count("requests_refused_total", refusal.kind))
+        return refusal_answer(refusal)
+
+    def _check(self, request):
+        if self.is_stopping:
+            return Refused(Kind.STOPPING, "this node is stopping")
+        if not self.is_ready:
+            return Refused(Kind.NOT_READY, "the configuration is not complete")
+        checked = read_request(request)
+        if isinstance(checked, Refused):
+            return checked
+        target = checked.value.target
+        if self.snapshot.find_route(target) is None:
+            return no_route(target)
+        if checked.value.fingerprint in self.suspects.quarantined:
+            detail = "this request has crashed upstreams"
+            return Refused(Kind.REQUEST_QUARANTINED, detail)
+        if len(self.calls) >= self.max_calls:
+            return Refused(Kind.QUEUE_FULL, "too many requests on this node")
+        return checked
+
+    def _accept(self, accepted):
+        connection = ServerConnection(self.loop, accepted, self, self.limits)
+        self.connections.add(connection)
+
+    def _replace_snapshot(self, snapshot):
+        self.snapshot = snapshot
+        self._carry_out(self.admission.update(snapshot, self.loop.clock()))
+        clusters = snapshot.clusters.values()
+        used = {l.upstream.address for c in clusters for l in c.locations}
+        for address in self.pool.all.keys() - used:
+            self.pool.close_idle(address)
+
+    # Idempotency keys.
+
+    def _claim(self, call, allowed_ms):
+        call.ticket = uuid4().hex
+        request, number = call.request, call.life.number
+        reply = ClaimReply(self.mailbox, number)
+        self.claims.tell(
+            AskClaim(request.key, request.fingerprint, call.ticket, allowed_ms, reply)
+        )
+        # The owner may have granted the key; it learns that nothing ran.
+        refusal = Refused(Kind.OWNER_UNREACHABLE, "the owner does not answer")
+        silent = partial(self.receive, ClaimJudged(number, refusal))
+        self.loop.call_after(CLAIM_S, silent)
+
+    def _take_verdict(self, call, verdict):
+        if isinstance(verdict, Refused):
+            self._report(call, "not_run", None)
+            self._end(call, self.refuse(None, verdict))
+            return
+        if verdict.kind == GRANTED:
+            call.is_claimed = True
+            self._seek_slot(call)
+            return
+        self.claims.tell(ForgetClaim(call.ticket))
+        if verdict.kind == REPEATED:
+            self._end(call, repeat_answer(verdict.answer))
+        else:
+            kind = KINDS.get(str(verdict.kind), Kind.OUTCOME_UNKNOWN)
+            self._end(call, self.refuse(None, Refused(kind, verdict.detail)))
+
+    def _report(self, call, outcome, kept):
+        """Tell the owner of a request's key what came of it."""
+        if call.ticket:
+            key = call.request.key
+            self.claims.tell(ReportClaim(key, call.ticket, outcome, kept))
+
+    # Attempts.
+
+    def _seek_slot(self, call):
+        effects = self.admission.request(call.life.call(), self.loop.clock())
+        self._carry_out(effects)
+
+    def _carry_out(self, effects):
+        for effect in effects:
+            if isinstance(effect, Granted):
+                self._send(self.calls[effect.number], effect.location)
+            elif isinstance(effect, Denied):
+                call = self.calls[effect.number]
+                self.counts += call.life.deny(effect.refusal, self.loop.clock())
+                self._go_on(call)
+            elif isinstance(effect, Count):
+                self.counts.append(effect)
+            elif isinstance(effect, StateChanged):
+                logger.info("%s: %s: %s", effect.subject, effect.state, effect.detail)
+
+    def _send(self, call, location):
+        life = call.life
+        self.counts += life.grant(location)
+        address = location.upstream.address
+        data = call.request.encode(life.deadline - self.loop.clock())
+        on_outcome = partial(self._take_result, call, address)
+        call.sending = Sending(data, None, on_outcome, call.request.is_head)
+        self.pool.send(address, call.sending, life.deadline)
+
+    def _take_result(self, call, address, result):
+        call.sending = None
+        outcome = _outcome(result, call.request, address)
+        life = call.life
+        now = self.loop.clock()
+        if isinstance(outcome, Refused):
+            self._note_loss(call, outcome, address)
+            self.counts += life.fail(Failure(outcome, now))
+            effects = self.admission.finish(life.number, outcome.kind, now)
+        else:
+            answered = Count("requests_answered_total", life.call_class)
+            self.counts += [*life.answer(), answered]
+            effects = self.admission.finish(life.number, None, now)
+            if call.request.fingerprint in self.suspects.marked:
+                self.control.tell(SuspectAnswered(call.request.fingerprint))
+            self._report(call, "answered", keep_answer(outcome.value))
+            self._end(call, outcome.value)
+        self._carry_out(effects)
+        if isinstance(outcome, Refused):
+            self._go_on(call)
+
+    def _note_loss(self, call, refusal, address):
+        """Mark a request that was running when its upstream was lost."""
+        if refusal.kind == Kind.UPSTREAM_FAILED:
+            fingerprint = call.request.fingerprint
+            is_repeat = call.life.losses > 0 or fingerprint in self.suspects.marked
+            mark = CrashMark(fingerprint, address, is_repeat)
+            self.control.tell(CrashSeen(mark))
+
+    def _go_on(self, call):
+        """Do what the state of the request asks for."""
+        life = call.life
+        if life.state == "waiting":
+            self._seek_slot(call)
+        elif life.state == "refused":
+            ran = ANSWERS[life.refusal.kind].ran
+            self._report(call, "not_run" if ran == Ran.NO else "unknown", None)
+            self._end(call, refusal_answer(life.refusal))
+
+    def _end(self, call, answer):
+        self._forget(call)
+        call.exchange.answer(answer)
+
+    def _forget(self, call):
+        self.calls.pop(call.life.number, None)
+        self.by_exchange.pop(call.exchange, None)
+
+    def _tick(self):
+        self._carry_out(self.admission.tick(self.loop.clock()))
+        if self.counts:
+            counts, self.counts = self.counts, []
+            self.meters.tell(Counted(counts))
+        self.timer = self.loop.call_after(TICK_S, self._tick)
+
+
+class ClaimReply:
+    """Where the task that owns the keys puts its verdict on a request.
+
+    Parameters
+    ----------
+    mailbox : CallsLoop
+        Reaches the task that asks.
+    number : int
+        The request.
+    """
+
+    __slots__ = ("mailbox", "number")
+
+    def __init__(self, mailbox, number):
+        self.mailbox = mailbox
+        self.number = number
+
+    def set(self, verdict):
+        """Send the verdict."""
+        self.mailbox.tell(ClaimJudged(self.number, verdict))
+
+
+def _outcome(result, request, address):
+    """Return ``Done`` with an `Answer`, or the reason why there is none."""
+    if isinstance(result, Answered):
+        return judge_answer(result.answer, request.is_head, address)
+    if isinstance(result, NotSent):
+        return Refused(Kind.UPSTREAM_UNREACHABLE, result.detail)
+    if result.is_timeout:
+        return Refused(Kind.UPSTREAM_TIMEOUT, f"{address}: {result.detail}")
+    is_cut = result.is_partial
+    return Refused(
+        Kind.UPSTREAM_TRUNCATED if is_cut else Kind.UPSTREAM_FAILED, result.detail
+    )
+
+
+def _log_accept_failure(address, reason):
+    logger.warning("%s: cannot accept: %s", address, reason)
--- a/packages/cyclamentally-node/cyclamentally_node/events.py
+++ b/packages/cyclamentally-node/cyclamentally_node/events.py
@@ -188,50 +188,38 @@
         self.snapshot = snapshot
 
 
-class Admit(Record):
-    """A request asks for a slot; ``future`` gets `Granted` or `Denied`."""
+class CountInFlight(Record):
+    """Put the number of requests without a whole answer into ``future``."""
 
-    __slots__ = ("call", "future")
+    __slots__ = ("future",)
 
-    def __init__(self, call, future):
-        self.call = call
+    def __init__(self, future):
         self.future = future
 
 
-class Finish(Record):
-    """A request returns its slot.
+class ServingChanged(Record):
+    """Whether requests of callers are let in."""
 
-    Parameters
-    ----------
-    number : int
-        The request.
-    outcome : Kind or None
-        Kind of the failure, None for an answer.
-    counts : list of Count
-        Counts of the request; they travel along to save a message.
-    """
+    __slots__ = ("is_ready",)
 
-    __slots__ = ("number", "outcome", "counts")
+    def __init__(self, is_ready):
+        self.is_ready = is_ready
 
-    def __init__(self, number, outcome, counts):
-        self.number = number
-        self.outcome = outcome
-        self.counts = counts
 
+class StopCalls(Record):
+    """Refuse new requests of callers, since the node stops."""
 
-class Abandon(Record):
-    """A queued request is given up; a slot granted meanwhile is returned."""
+    __slots__ = ()
 
-    __slots__ = ("number",)
 
-    def __init__(self, number):
-        self.number = number
+class ClaimJudged(Record):
+    """The verdict on the idempotency key of a request, or ``Refused``."""
 
+    __slots__ = ("number", "verdict")
 
-class CountInFlight(Record):
-    """Return the number of requests that hold or await a slot."""
-
-    __slots__ = ()
+    def __init__(self, number, verdict):
+        self.number = number
+        self.verdict = verdict
 
 
 class AskClaim(Record):
--- a/packages/cyclamentally-node/cyclamentally_node/http_server.py
+++ b/packages/cyclamentally-node/cyclamentally_node/http_server.py
@@ -1,4 +1,4 @@
-"""The task that owns the sockets of a waitress server."""
+"""The task that owns the sockets of a waitress server, for operators."""
 
 from contextlib import suppress
 from threading import Thread
@@ -69,11 +69,6 @@
             self.thread.join()
         self.server.task_dispatcher.shutdown()
 
-    def is_idle(self):
-        """Return whether no request is handled and no answer is unsent."""
-        channels = list(self.server.active_channels.values())
-        return not any(c.requests or c.total_outbufs_len for c in channels)
-
     def _close_sockets(self):
         for channel in list(self.server.active_channels.values()):
             channel.handle_close()
--- /dev/null
+++ b/packages/cyclamentally-node/cyclamentally_node/kept_answers.py
@@ -0,0 +1,24 @@
+"""Answers that the owner of an idempotency key keeps for repeats."""
+
+from cyclamentally.idempotency import MAX_ANSWER_BYTES
+from cyclamentally.model import KeptAnswer
+from cyclamentally_calls.http_codec import Answer
+from cyclamentally_node.caller_request import REPEATED_HEADER
+
+
+def keep_answer(answer):
+    """Return the `KeptAnswer` of an `Answer`; None if it is too large."""
+    if len(answer.body) > MAX_ANSWER_BYTES:
+        return None
+    names = [name.decode("latin-1") for name, _ in answer.headers]
+    values = [value.decode("latin-1") for _, value in answer.headers]
+    return KeptAnswer(str(answer.status), names, values, answer.body)
+
+
+def repeat_answer(kept):
+    """Return the `Answer` to a repeat of an answered request."""
+    pairs = zip(kept.header_names, kept.header_values, strict=True)
+    headers = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in pairs]
+    headers.append((REPEATED_HEADER, b"1"))
+    # Nodes of earlier versions keep the reason behind the code.
+    return Answer(int(kept.status.split()[0]), headers, kept.body)
--- a/packages/cyclamentally-node/cyclamentally_node/node.py
+++ b/packages/cyclamentally-node/cyclamentally_node/node.py
@@ -16,37 +16,38 @@
 from cyclamentally.idempotency import KeyOwner
 from cyclamentally.messages import Summary
 from cyclamentally.records import Record
+from cyclamentally.routes import CallerLimits
 from cyclamentally.routing import NearestChooser
 from cyclamentally_node.admin import Admin
-from cyclamentally_node.admission_task import AdmissionTask
+from cyclamentally_node.calls_loop import CallsLoop
+from cyclamentally_node.calls_task import CallsTask
 from cyclamentally_node.claim_task import ClaimTask
-from cyclamentally_node.connections import ConnectionPool
 from cyclamentally_node.control_task import ControlTask
 from cyclamentally_node.events import (
     Attach,
     Counted,
-    CountInFlight,
     DescribeNode,
     ReadSeeds,
+    ServingChanged,
+    StopCalls,
     StopNode,
 )
-from cyclamentally_node.front import Front, FrontView
 from cyclamentally_node.http_server import HttpServer
-from cyclamentally_node.keyed import KeyedRunner
 from cyclamentally_node.meters import Meters
 from cyclamentally_node.outbox import Outbox
 from cyclamentally_node.peers import PeerReceiver, PeerSender
 from cyclamentally_node.platform_task import PlatformTask
-from cyclamentally_node.runner import RequestRunner
 from cyclamentally_node.ticker import Ticker
-from cyclamentally_node.upstream_client import UpstreamClient
-from cyclamentally_node.watcher import FrontWatcher
 
 ADMIN_THREADS = 2
 MS = 1_000
 DRAIN_CHECK_S = 0.05
 READY_CHECK_S = 0.1
 ADMIN_BODY_BYTES = 10_000
+# Bounds for callers that no setting names.
+HEADER_BYTES = 64 * 1024
+HEADER_S = 10.0
+IDLE_S = 60.0
 
 
 def choose_nearest(settings, random):
@@ -97,14 +98,12 @@
 
     __slots__ = (
         "admin_server",
-        "admission",
+        "calls",
         "claims",
         "control",
-        "front_server",
         "meters",
         "parts",
         "platform",
-        "pool",
         "random",
         "receiver",
         "sender",
@@ -112,8 +111,6 @@
         "started_ms",
         "stopped",
         "ticker",
-        "view",
-        "watcher",
     )
 
     def __init__(self, settings, parts=None):
@@ -122,46 +119,47 @@
         self.random = Random()
         self.started_ms = int(time() * MS)
         self.stopped = Event()
-        self.view = FrontView()
-        self.pool = ConnectionPool(monotonic)
         self._start_tasks()
-        self._create_servers()
+        self.admin_server = HttpServer(
+            Admin(self.control, self.meters),
+            settings.listen_admin,
+            ADMIN_THREADS,
+            ADMIN_BODY_BYTES,
+        )
 
     def start(self):
         """Join the members and serve as soon as the configuration is whole."""
         self.platform.tell(Attach(self.control))
         self.platform.tell(ReadSeeds())
         self.ticker.start()
-        for server in (self.front_server, self.admin_server):
-            server.start()
+        self.calls.start()
+        self.admin_server.start()
         Thread(target=self._await_ready, daemon=True).start()
 
     def close(self):
         """Refuse new requests, finish those in flight, then stop all tasks."""
         if self.stopped.is_set():
             return
-        self.view.is_stopping = True
+        self.calls.tell(StopCalls())
         self.stopped.set()
         self.control.ask(StopNode())
         self._drain()
         self.ticker.close()
-        for server in (self.front_server, self.admin_server):
-            server.close()
+        self.calls.close()
+        self.admin_server.close()
         for task in (self.receiver, self.platform, self.control, self.sender):
             task.stop(block=False)
-        self.pool.close()
 
     def _start_tasks(self):
         settings = self.settings
         self.meters = Meters.start()
         self.sender = self.parts.sender.start(settings.node_region, self.meters)
-        chooser = self.parts.make_chooser(settings, self.random)
-        admission = Admission(chooser, max(1, settings.calls_threads // 2))
-        self.admission = AdmissionTask.start(admission, monotonic, self.meters)
-        self.watcher = FrontWatcher.start(self.view, self.pool)
         self.platform = self._start_platform()
         self.claims = self._start_claims()
+        # The task answers from its start on, but refuses until the node is ready.
+        self.calls = CallsLoop(self._make_calls)
         self.control = self._start_control()
+        self.calls.task.control = self.control
         self.receiver = PeerReceiver.start(
             settings.listen_peers,
             settings.node_region,
@@ -169,7 +167,7 @@
             self.claims,
             self.meters,
         )
-        self.ticker = Ticker(TICK_S, [self.control, self.admission, self.claims])
+        self.ticker = Ticker(TICK_S, [self.control, self.claims])
 
     def _start_platform(self):
         settings = self.settings
@@ -220,26 +218,25 @@
             Outbox(self.sender, self.meters),
             self.platform,
             self.claims,
-            [self.admission, self.watcher],
+            [self.calls],
         )
 
-    def _create_servers(self):
+    def _make_calls(self, loop, mailbox):
         settings = self.settings
-        client = UpstreamClient(self.pool, monotonic)
-        runner = RequestRunner(
-            self.admission, self.control, self.meters, client, monotonic
-        )
-        keyed = KeyedRunner(self.claims, runner)
-        max_body = settings.calls_max_body_bytes
-        front = Front(self.view, runner, keyed, self.meters, max_body)
-        self.front_server = HttpServer(
-            front, settings.listen_calls, settings.calls_threads, max_body
+        chooser = self.parts.make_chooser(settings, self.random)
+        limits = CallerLimits(
+            HEADER_BYTES, settings.calls_max_body_bytes, HEADER_S, IDLE_S
         )
-        self.admin_server = HttpServer(
-            Admin(self.control, self.meters),
-            settings.listen_admin,
-            ADMIN_THREADS,
-            ADMIN_BODY_BYTES,
+        return CallsTask(
+            loop,
+            mailbox,
+            settings.listen_calls,
+            limits,
+            settings.calls_in_flight,
+            Admission(chooser, max(1, settings.calls_in_flight // 2)),
+            self.claims,
+            None,
+            self.meters,
         )
 
     def _sign(self):
@@ -259,7 +256,7 @@
         """Let requests in once the node life says so."""
         while not self.stopped.wait(READY_CHECK_S):
             if self.control.ask(DescribeNode()).state == "serving":
-                self.view.is_ready = True
+                self.calls.tell(ServingChanged(True))
                 return
 
     def _drain(self):
@@ -267,8 +264,7 @@
         deadline = monotonic() + self.settings.calls_drain_ms / MS
         pause = Event()
         while monotonic() < deadline:
-            is_busy = self.admission.ask(CountInFlight()) > 0
-            if not is_busy and self.front_server.is_idle():
+            if self.calls.count_in_flight() == 0:
                 return
             pause.wait(DRAIN_CHECK_S)
 
--- a/packages/cyclamentally-node/cyclamentally_node/settings.py
+++ b/packages/cyclamentally-node/cyclamentally_node/settings.py
@@ -60,8 +60,8 @@
     "platform.watch_ms": Setting(
         5_000, "whole", "Longest wait of a watch, ms.", (100, 60_000)
     ),
-    "calls.threads": Setting(
-        16, "whole", "Requests handled at once by this node.", (1, 256)
+    "calls.in_flight": Setting(
+        256, "whole", "Requests handled at once by this node.", (1, 4_096)
     ),
     "calls.max_body_bytes": Setting(
         1_000_000, "whole", "Largest request body, bytes.", (0, 100_000_000)
--- a/packages/cyclamentally/cyclamentally/admission.py
+++ b/packages/cyclamentally/cyclamentally/admission.py
@@ -136,7 +136,7 @@
     def is_overloaded(self, now):
         """Return whether every upstream is paused for long.
 
-        To wait then would hold threads that requests to other services need.
+        To wait then would hold places that requests to other services need.
         """
         states = [e for e in self.endpoints.values() if e.state not in UNUSABLE]
         return all(e.paused_until - now > SHORT_PAUSE_S for e in states)
