Ask a restarted node again after a quarter of a second

Change: a gate that knows no upstream yet says not_ready, for which the pause is 0.25 s; one that knows of an end still says upstream_left.

--- a/packages/cyclamentally/cyclamentally/gate.py
+++ b/packages/cyclamentally/cyclamentally/gate.py
@@ -252,7 +252,8 @@
             # Calls that the upstream makes for the request would have no route.
             return Refused(Kind.NOT_READY, "no configuration has been read yet")
         if present is None or self.state == "unknown":
-            return Refused(Kind.UPSTREAM_LEFT, "no upstream is known here")
+            kind = Kind.NOT_READY if self.ended is None else Kind.UPSTREAM_LEFT
+            return Refused(kind, "no upstream is known here")
         if ticket.upstream != present.upstream or ticket.service != present.service:
             return Refused(Kind.UPSTREAM_LEFT, f"{present.upstream} is here now")
         if self.state == "draining":
--- a/packages/cyclamentally/cyclamentally/placing.py
+++ b/packages/cyclamentally/cyclamentally/placing.py
@@ -27,9 +27,11 @@
 ALIKE_S = 0.004
 # What an upstream's gate said of its load loses half of its weight in this time.
 LOAD_HALF_LIFE_S = 0.5
-# An upstream that left comes back only with another entry, but a node that was
-# restarted refuses in the same way until its upstream's next heartbeat.
+# An upstream that left comes back only with another entry.
 LEFT_PAUSE_S = 2.0
+# A node that was restarted knows its upstream after one check of its liveness, or
+# at its next heartbeat.
+RESTART_PAUSE_S = 0.25
 # An upstream that sheds may have a free slot after about half a request.
 SHED_PAUSE_S = 0.05
 # The gate's own wait is an estimate; longer pauses would leave slots unused.
@@ -251,7 +253,9 @@
     kind = refusal.kind
     if kind in (Kind.QUEUE_FULL, Kind.QUEUE_TIMEOUT):
         view.pause(now, min(refusal.wait or 0.0, FULL_PAUSE_S))
-    elif kind in (Kind.UPSTREAM_LEFT, Kind.STOPPING, Kind.NOT_READY):
+    elif kind == Kind.NOT_READY:
+        view.pause(now, RESTART_PAUSE_S)
+    elif kind in (Kind.UPSTREAM_LEFT, Kind.STOPPING):
         view.pause(now, LEFT_PAUSE_S)
     elif kind == Kind.UPSTREAM_OVERLOADED:
         view.pause(now, SHED_PAUSE_S)
