--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := packages/cyclamentally packages/cyclamentally-platform packages/cyclamentally-calls \
 	packages/cyclamentally-node packages/cyclamentally-cli packages/cyclamentally-testing platform
 
-.PHONY: install test lint demo clean bench-install bench-charts bench-memory bench-spread bench-calls soak fuzz
+.PHONY: install test lint demo clean bench-install bench-charts bench-memory bench-spread bench-calls soak platform-soak fuzz
 
 install: $(VENV)/.installed
 
@@ -54,6 +54,9 @@
 soak: install
 	$(BIN)/python bench/soak.py $(SEED) $(SECONDS)
 
+platform-soak: install
+	$(BIN)/python -m cyclamentally_adapter.tests.soak $(SEED) $(SECONDS)
+
 bench-capacity: install
 	$(BIN)/python bench/capacity.py
 
--- a/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
@@ -167,8 +167,7 @@
     def receive(self, message):
         """Handle the messages of the other tasks."""
         if isinstance(message, OfferDone):
-            call = self.calls.get(message.number)
-            if call is not None:
+            if call := self.calls.get(message.number):
                 self._take_outcome(call, message.outcome, message.load)
         elif isinstance(message, HostsReplaced):
             self.hosts = message.by_service
--- a/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
@@ -53,7 +53,8 @@
 # Small against the 2.5 s after which a missing entry counts as absent.
 TICK_S = 0.5
 # Time within which a new host should get requests, in seconds; it counts as left
-# out four seconds after a configuration would be in force.
+# out four seconds after a configuration would be in force. Hosts may be known late,
+# since a gate refuses by itself what its upstream does not take.
 HOSTS_KNOWN_S = 1.5
 
 
@@ -138,8 +139,6 @@
                 in_force_s,
                 polls_series=True,
             ),
-            # A gate refuses by itself what its upstream does not take, so hosts
-            # may be known late.
             "hosts": Watch(
                 HOSTS_PREFIX,
                 HostSink(self),
--- a/packages/cyclamentally-node/cyclamentally_node/calls_task.py
+++ b/packages/cyclamentally-node/cyclamentally_node/calls_task.py
@@ -15,12 +15,10 @@
 from cyclamentally.snapshot import EMPTY_SNAPSHOT
 from cyclamentally_calls.client_connection import ConnectionPool, Sending
 from cyclamentally_calls.loop import Task
-from cyclamentally_calls.outcomes import Answered, NotSent
 from cyclamentally_calls.server_connection import RequestHandler, ServerConnection
 from cyclamentally_calls.stream import Listener
 from cyclamentally_node.caller_request import (
     IDEMPOTENT_METHODS,
-    judge_answer,
     read_request,
     refusal_answer,
 )
@@ -39,6 +37,7 @@
     SuspectsReplaced,
 )
 from cyclamentally_node.kept_answers import keep_answer, repeat_answer
+from cyclamentally_node.node_calls import ClaimReply, NodeCall, judge_result
 
 logger = get_absl_logger()
 
@@ -53,31 +52,6 @@
 KINDS = {str(kind): kind for kind in Kind}
 
 
-class NodeCall:
-    """A request of a caller and what is out for it.
-
-    Parameters
-    ----------
-    exchange : Exchange
-        Where the answer goes.
-    request : CallerRequest
-        The request.
-    life : RequestLife
-        Decisions.
-    """
-
-    __slots__ = ("exchange", "is_claimed", "life", "request", "sending", "ticket")
-
-    def __init__(self, exchange, request, life):
-        self.exchange = exchange
-        self.request = request
-        self.life = life
-        self.sending = None
-        # Names the try at the owner of the idempotency key; empty without a key.
-        self.ticket = ""
-        self.is_claimed = False
-
-
 class CallsTask(Task, RequestHandler):
     """Answer callers by way of the upstreams of the snapshot in force.
 
@@ -334,7 +308,7 @@
 
     def _take_result(self, call, address, result):
         call.sending = None
-        outcome = _outcome(result, call.request, address)
+        outcome = judge_result(result, call.request, address)
         life = call.life
         now = self.loop.clock()
         if isinstance(outcome, Refused):
@@ -387,41 +361,5 @@
         self.timer = self.loop.call_after(TICK_S, self._tick)
 
 
-class ClaimReply:
-    """Where the task that owns the keys puts its verdict on a request.
-
-    Parameters
-    ----------
-    mailbox : CallsLoop
-        Reaches the task that asks.
-    number : int
-        The request.
-    """
-
-    __slots__ = ("mailbox", "number")
-
-    def __init__(self, mailbox, number):
-        self.mailbox = mailbox
-        self.number = number
-
-    def set(self, verdict):
-        """Send the verdict."""
-        self.mailbox.tell(ClaimJudged(self.number, verdict))
-
-
-def _outcome(result, request, address):
-    """Return ``Done`` with an `Answer`, or the reason why there is none."""
-    if isinstance(result, Answered):
-        return judge_answer(result.answer, request.is_head, address)
-    if isinstance(result, NotSent):
-        return Refused(Kind.UPSTREAM_UNREACHABLE, result.detail)
-    if result.is_timeout:
-        return Refused(Kind.UPSTREAM_TIMEOUT, f"{address}: {result.detail}")
-    is_cut = result.is_partial
-    return Refused(
-        Kind.UPSTREAM_TRUNCATED if is_cut else Kind.UPSTREAM_FAILED, result.detail
-    )
-
-
 def _log_accept_failure(address, reason):
     logger.warning("%s: cannot accept: %s", address, reason)
