Leave it to the entry's own call to try a store that does not answer

The outage began while the entry was being written; then the registration and a watch both tried the store at the full price, each twice a second. Only a lease under renewal held the watches back. Change: they are held back by an entry that has to be written as well.

--- a/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
@@ -330,14 +330,14 @@
     def _awaits_return(self, watch):
         """Whether a failed watch leaves it to another call to try the store.
 
-        Calls to a store that is down are priced as well, the renewal of a lease
-        least of all, and its return is reported to all.
+        Calls to a store that is down are priced as well, and its return is reported
+        to all. The entry goes first: it has to be back within two seconds.
         """
         if watch.state != "pausing":
             return False
         routes = self.watches["routes"]
         has_other = watch is not routes and routes.state == "pausing"
-        return has_other or self.registration.state == "renewing"
+        return has_other or self.registration.state in ("renewing", "pausing")
 
     def _ask(self, watch, call, limit):
         """Make the call of a watch; an earlier one of it is given up."""
