Keep no numbers of late requests that started at once

Cause: found on reading: the gate noted each request that would be late, and cleared the notes only under load; on a route that takes longer than its target as a rule they grew without a bound. Conclusion: the new test fails before.

--- a/packages/cyclamentally/cyclamentally/gate.py
+++ b/packages/cyclamentally/cyclamentally/gate.py
@@ -196,7 +196,7 @@
         if not self._fits(ticket, now + wait) or self._has_no_place(ticket, now, wait):
             detail = f"needs a wait of {wait:.3f} s"
             return [self._refuse(ticket, Kind.QUEUE_FULL, detail, self._wait_hint(now))]
-        if self._is_late(ticket, now + wait):
+        if wait > 0 and self._is_late(ticket, now + wait):
             self.late.add(ticket.number)
         self.waiting.append(ticket)
         if ticket.crosses_link:
--- a/packages/cyclamentally/cyclamentally/tests/test_gate.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_gate.py
@@ -233,3 +233,12 @@
     assert publication.update(gate).is_leaving is True
     gate.stop()
     assert publication.update(gate) is None
+
+
+def test_late_requests_that_start_at_once_leave_nothing_behind(gate):
+    """A route may take longer than its target as a rule."""
+    for number in range(100):
+        gate.admit(ticket(number, target=-1.0), 0.0)
+        gate.finish(number, True, 0.0)
+    assert gate.late == set()
+    assert gate.uplink.reserved == {}
