--- a/packages/cyclamentally-node/cyclamentally_node/calls_loop.py
+++ b/packages/cyclamentally-node/cyclamentally_node/calls_loop.py
@@ -1,16 +1,18 @@
 """The thread of the event loop that answers callers."""
 
 from collections import deque
-from contextlib import suppress
 from select import EPOLLIN
 from socket import socketpair
 from threading import Thread
 
+from absl.logging import get_absl_logger
 from pykka import ThreadingFuture
 
 from cyclamentally_calls.loop import Loop
 from cyclamentally_node.events import CountInFlight
 
+logger = get_absl_logger()
+
 WAKE_BYTES = 4096
 # Longest wait for an answer of the task, in seconds; it never blocks.
 ASK_S = 10.0
@@ -55,9 +57,13 @@
     def tell(self, message):
         """Hand a message to the task; from any thread."""
         self.inbox.append(message)
-        # A full socket announces messages already; a closed one has no task.
-        with suppress(BlockingIOError, OSError):
+        try:
             self.sending.send(b"\0")
+        except BlockingIOError:
+            # A full socket announces this message too.
+            return
+        except OSError as error:
+            logger.info("calls: %s after the end: %s", type(message).__name__, error)
 
     def count_in_flight(self):
         """Return the number of requests that are not answered yet."""
--- a/packages/cyclamentally/cyclamentally/gate.py
+++ b/packages/cyclamentally/cyclamentally/gate.py
@@ -29,8 +29,8 @@
 # short service were late (5d177d20), with 1.3 for it fewer (ec313bdf).
 NEEDED_SHARE_OF_SERVICE = 1.3
 # Requests that will miss their target may wait, up to this share of the slots;
-# they get the slots that the others leave over. With more, those beyond wait for
-# nothing: at 1.3 times the capacity 0.5 has no more answers than 0.25.
+# they get the slots that the others leave over, and more of them would only wait
+# longer (`test_gate_under_load.py`).
 LATE_SHARE_OF_SLOTS = 0.25
 # Shorter waits would have a caller ask again before anything has changed.
 LEAST_WAIT_S = 0.02
