Round the limit of late requests one way in the gate

Cause: admission rounded a quarter of the slots up, the expiry of queued requests down, so a request could be admitted and refused in the same call, as queue_timeout instead of queue_full. Change: one method gives the limit (rounded down, at least one) to both. Result: the new test failed at 5, 6, 9 and 13 slots and passes at all eight sizes.

--- a/packages/cyclamentally/cyclamentally/gate.py
+++ b/packages/cyclamentally/cyclamentally/gate.py
@@ -307,10 +307,11 @@
             return False
         late = {t.number for t in self.waiting if self._is_late(t, now)}
         self.admitted_late.intersection_update(t.number for t in self.waiting)
-        return (
-            len(late | self.admitted_late)
-            >= MAX_LATE_SHARE_OF_SLOTS * self.heartbeat.slots
-        )
+        return len(late | self.admitted_late) >= self._max_late()
+
+    def _max_late(self):
+        """Return how many queued requests may be expected to miss their target."""
+        return max(1, int(MAX_LATE_SHARE_OF_SLOTS * self.heartbeat.slots))
 
     def _is_link_full(self, ticket, start):
         needed = SERVICE_TIME_MARGIN * self.mean_service_time(ticket.route)
@@ -354,7 +355,7 @@
         out = [t for t in self.waiting if not self._meets_deadline(t, now)]
         late = [t for t in self.waiting if self._is_late(t, now) and t not in out]
         late.sort(key=lambda t: self._queue_key(t, now))
-        out += late[max(1, int(MAX_LATE_SHARE_OF_SLOTS * self.heartbeat.slots)) :]
+        out += late[self._max_late() :]
         if not out:
             return []
         numbers = {t.number for t in out}
--- a/packages/cyclamentally/cyclamentally/tests/test_gate.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_gate.py
@@ -198,6 +198,19 @@
     assert refused == {3: Kind.QUEUE_FULL}
 
 
+@pytest.mark.parametrize("slots", [1, 2, 3, 4, 5, 6, 9, 13])
+def test_late_request_over_the_limit_is_refused_as_queue_full(slots):
+    gate = open_gate()
+    gate.on_heartbeat(heartbeat(slots=slots), 0.0)
+    for number in range(slots):
+        gate.admit(ticket(number), 0.0)
+    refused = {}
+    for number in range(slots, 2 * slots):
+        refused |= outcomes(gate.admit(ticket(number, target=0.0), 0.0)).refused
+    assert set(refused.values()) <= {Kind.QUEUE_FULL}
+    assert len(gate.waiting) == max(1, slots // 4)
+
+
 def test_request_unlikely_to_finish_before_its_deadline_is_refused(gate):
     gate.admit(ticket(0), 0.0)
     gate.finish(0, True, 0.2)
