Refuse outcomes of idempotency keys outside the closed list

Cause: the owner of a key ran the outcome that a peer reported as an event of the chart, so an unknown one raised KeyError and 'claim' moved an unclaimed key to running. Change: only answered, not_run and unknown are taken; others are counted and logged.

--- a/packages/cyclamentally-node/cyclamentally_node/claim_task.py
+++ b/packages/cyclamentally-node/cyclamentally_node/claim_task.py
@@ -1,9 +1,11 @@
 """Task that owns the idempotency keys of this node."""
 
+from absl.logging import get_absl_logger
 from pykka import ThreadingActor
 
 from cyclamentally.call_messages import ClaimReply, ClaimRequest, ClaimResult
 from cyclamentally.claims import ClaimDecided
+from cyclamentally.effects import PeerMessageRefused
 from cyclamentally_node.task_messages import (
     ClaimKey,
     ForgetClaim,
@@ -14,6 +16,8 @@
     Tick,
 )
 
+logger = get_absl_logger()
+
 CLAIM_MESSAGES = (ClaimRequest, ClaimReply, ClaimResult)
 
 
@@ -96,3 +100,5 @@
                 future = self.futures.pop(effect.ticket, None)
                 if future is not None:
                     future.set(effect.verdict)
+            elif isinstance(effect, PeerMessageRefused):
+                logger.warning("%s: message refused: %s", effect.sender, effect.detail)
--- a/packages/cyclamentally-node/cyclamentally_node/meters.py
+++ b/packages/cyclamentally-node/cyclamentally_node/meters.py
@@ -11,6 +11,7 @@
     "retries_total": "reason",
     "retries_refused_total": "reason",
     "claims_refused_total": "reason",
+    "claim_results_refused_total": "reason",
     "messages_refused_total": "reason",
     "transfers_refused_total": "reason",
     "versions_refused_total": "reason",
--- a/packages/cyclamentally/cyclamentally/effects.py
+++ b/packages/cyclamentally/cyclamentally/effects.py
@@ -69,6 +69,24 @@
         self.detail = detail
 
 
+class PeerMessageRefused(Record):
+    """Log that a peer's message was refused.
+
+    Parameters
+    ----------
+    sender : str
+        The peer.
+    detail : str
+        Reason, in one line.
+    """
+
+    __slots__ = ("detail", "sender")
+
+    def __init__(self, sender, detail):
+        self.sender = sender
+        self.detail = detail
+
+
 class ConfigurationChanged(Record):
     """Routes or upstreams have changed."""
 
--- a/packages/cyclamentally/cyclamentally/idempotency.py
+++ b/packages/cyclamentally/cyclamentally/idempotency.py
@@ -4,7 +4,7 @@
 
 from cyclamentally.call_messages import ClaimReply, ClaimResult
 from cyclamentally.chart import runs_chart
-from cyclamentally.effects import Count, Send
+from cyclamentally.effects import Count, PeerMessageRefused, Send
 from cyclamentally.errors import Kind, Refused
 from cyclamentally.keys import (
     KEY_WINDOW_MS,
@@ -24,6 +24,8 @@
 MAX_ANSWER_BYTES = 4_096
 DEPARTURE_RETENTION_MS = 600_000
 
+# Outcomes that the holder of a key may report; the chart has further events.
+RESULT_OUTCOMES = ("answered", "not_run", "unknown")
 GRANTED = "granted"
 REPEATED = "repeated"
 
@@ -239,7 +241,13 @@
         return claim.fire("claim", attempt)[0]
 
     def on_result(self, result, now_ms):
-        """Handle a `ClaimResult`."""
+        """Handle a `ClaimResult`; returns effects."""
+        if result.outcome not in RESULT_OUTCOMES:
+            detail = f"claim result has the unknown outcome {result.outcome!r}"
+            return [
+                Count("claim_results_refused_total", "unknown_outcome"),
+                PeerMessageRefused(result.sender.node, detail),
+            ]
         claim = self.claims.get(result.key)
         if claim is None:
             return []
--- a/packages/cyclamentally/cyclamentally/tests/test_idempotency.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_idempotency.py
@@ -3,6 +3,7 @@
 import pytest
 
 from cyclamentally.call_messages import ClaimRequest, ClaimResult
+from cyclamentally.effects import Count, PeerMessageRefused
 from cyclamentally.errors import Kind
 from cyclamentally.idempotency import (
     GRANTED,
@@ -124,6 +125,22 @@
     assert owner.claim(request_of(key, "t2"), NOW).kind == Kind.KEY_IN_PROGRESS
 
 
+@pytest.mark.parametrize("outcome", ["bogus", "claim", "overdue", ""])
+@pytest.mark.parametrize("is_claimed", [True, False], ids=["running", "unclaimed"])
+def test_result_with_another_outcome_is_refused(owner, key, outcome, is_claimed):
+    """A peer of another build may report an outcome that this node does not know."""
+    owner.claim(request_of(key), NOW)
+    if not is_claimed:
+        owner.on_result(result_of(key, "not_run"), NOW)
+    state = owner.claims[key].state
+    effects = owner.on_result(result_of(key, outcome, answer=ANSWER), NOW)
+    assert [e.name for e in effects if isinstance(e, Count)] == [
+        "claim_results_refused_total"
+    ]
+    assert any(isinstance(e, PeerMessageRefused) for e in effects)
+    assert owner.claims[key].state == state
+
+
 def test_key_of_another_request_is_refused(owner, key):
     owner.claim(request_of(key), NOW)
     assert owner.claim(request_of(key, "t2", 6), NOW).kind == Kind.KEY_REUSED
