Keep reserved ports bound until their owner has ended

Change: ReservedPorts keeps a bound, not listening socket per port; Fleet, the node's tests and bench/calls use it.

--- a/bench/calls.py
+++ b/bench/calls.py
@@ -18,8 +18,9 @@
 from cyclamentally_platform.stored import JsonStoredCodec
 
 from cyclamentally.publishing import Publisher
-from cyclamentally_testing.fleet import Fleet, free_ports, make_hosts
+from cyclamentally_testing.fleet import Fleet, make_hosts
 from cyclamentally_testing.load import Load, Operation, percentile_ms
+from cyclamentally_testing.ports import ReservedPorts
 from cyclamentally_testing.processes import cpu_seconds
 from cyclamentally_testing.upstream_server import read_record
 
@@ -118,11 +119,13 @@
 def measure_latency():
     """Return latencies of each target at 150 calls/s and at saturation."""
     setup = CallFleet(["standings", ""], "nearest")
+    reserved = ReservedPorts(1)
     try:
         setup.start()
         fleet = setup.fleet
         host, caller_host = fleet.hosts
-        (port,) = free_ports(1)
+        reserved.start()
+        (port,) = reserved.ports
         module = "cyclamentally_testing.pass_through"
         fleet.spawn("pass", [module, str(port), host.upstream])
         targets = {
@@ -138,6 +141,7 @@
         result["node_cpu_percent"] = round((cpu_seconds(pid) - before) * 10, 1)
     finally:
         setup.close()
+        reserved.close()
     return result | _added(result)
 
 
--- a/packages/cyclamentally-node/cyclamentally_node/tests/test_node.py
+++ b/packages/cyclamentally-node/cyclamentally_node/tests/test_node.py
@@ -17,8 +17,8 @@
 from cyclamentally_node.node import Node
 from cyclamentally_node.settings import SettingsReader
 from cyclamentally_node.tests.support import COMPLETE_ANSWER
-from cyclamentally_testing.fleet import free_ports
 from cyclamentally_testing.platform_server import PlatformServer
+from cyclamentally_testing.ports import ReservedPorts
 
 TIMEOUT_S = 30.0
 SEED = 20261204
@@ -35,7 +35,9 @@
         self.pool = PoolManager(retries=False, timeout=TIMEOUT_S)
         self.server = PlatformServer()
         self.server.start()
-        peers, calls, admin = (f"127.0.0.1:{port}" for port in free_ports(3))
+        self.reserved = ReservedPorts(3)
+        self.reserved.start()
+        peers, calls, admin = self.reserved.addresses()
         self.peers, self.calls, self.admin = peers, calls, admin
         document = {
             "node": {"name": "n-1", "domain": "d-1", "region": "r-1"},
@@ -53,6 +55,7 @@
         self.node.close()
         self.server.close()
         self.pool.clear()
+        self.reserved.close()
 
     def put(self):
         codec = JsonBodyCodec()
--- a/packages/cyclamentally-testing/cyclamentally_testing/fleet.py
+++ b/packages/cyclamentally-testing/cyclamentally_testing/fleet.py
@@ -4,7 +4,6 @@
 import sys
 from pathlib import Path
 from signal import SIGTERM
-from socket import socket
 from tempfile import TemporaryDirectory
 from threading import Event
 from time import monotonic
@@ -14,6 +13,7 @@
 from urllib3.exceptions import HTTPError
 
 from cyclamentally.records import Record
+from cyclamentally_testing.ports import ReservedPorts
 
 STOP_TIMEOUT_S = 15.0
 POLL_S = 0.05
@@ -78,6 +78,7 @@
         "platform_address",
         "pool",
         "processes",
+        "reserved",
         "slots",
     )
 
@@ -117,6 +118,7 @@
                 process.wait()
         self.pool.clear()
         self.folder.cleanup()
+        self.reserved.close()
 
     def start_node(self, host):
         """Start the node of a host."""
@@ -211,8 +213,9 @@
         return times
 
     def _assign_ports(self):
-        ports = free_ports(4 * len(self.hosts) + 1)
-        addresses = [f"127.0.0.1:{port}" for port in ports]
+        self.reserved = ReservedPorts(4 * len(self.hosts) + 1)
+        self.reserved.start()
+        addresses = self.reserved.addresses()
         self.platform_address = addresses.pop()
         for host in self.hosts:
             host.peers = addresses.pop()
@@ -236,17 +239,6 @@
         return path
 
 
-def free_ports(count):
-    """Return ports that are currently free."""
-    sockets = [socket() for _ in range(count)]
-    for entry in sockets:
-        entry.bind(("127.0.0.1", 0))
-    ports = [entry.getsockname()[1] for entry in sockets]
-    for entry in sockets:
-        entry.close()
-    return ports
-
-
 def make_hosts(regions, domains_per_region, services, profile):
     """Return one host per service in every failure domain.
 
