Count the calls of repeated runs as repeats; name the share that an upstream sheds

A failed call makes the run that needs it fail, its sender repeats the run elsewhere, and the repeated run makes its calls again. The rule counts these calls as repeats at the service called; no budget did: 1,009 arrivals beyond the first for 3,031 requests in 10 s, 662 allowed. That the count of first sends holds calls too was ruled out as the cause: the rule's 3,031 holds them. Change: a ticket says whether its run is a repeat; the gate reports such runs to the node's outbound, which counts their calls as repeats of the called service. The gate names the share of requests that its upstream has shed in its load; senders prefer others while one sheds more than these. Ruled out: a breaker in the gate that refuses everything while an upstream sheds.

--- a/packages/cyclamentally-calls/cyclamentally_calls/call_events.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/call_events.py
@@ -215,3 +215,21 @@
     """Shutdown has begun: readiness fails and the upstream is withdrawn."""
 
     __slots__ = ()
+
+
+class RepeatedRunChanged(Record):
+    """The upstream on this host starts or has ended to run a repeated request.
+
+    Parameters
+    ----------
+    request_id : str
+        ID of the request.
+    is_running : bool
+        Whether the run starts.
+    """
+
+    __slots__ = ("request_id", "is_running")
+
+    def __init__(self, request_id, is_running):
+        self.request_id = request_id
+        self.is_running = is_running
--- a/packages/cyclamentally-calls/cyclamentally_calls/calls.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/calls.py
@@ -32,6 +32,13 @@
     return request.find(names.request_id.lower).decode("latin-1")
 
 
+def echo_of(request, names):
+    """Return name and value of the header that a response must repeat, or None."""
+    name = names.request_id.lower
+    value = request.find(name)
+    return (name, value) if value else None
+
+
 def call_fields(call, version, now, names):
     """Return the fields common to all log lines of a request.
 
--- a/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
@@ -5,7 +5,6 @@
 from cyclamentally.effects import Count, StateChanged
 from cyclamentally.errors import Done, Kind, Refused
 from cyclamentally.gate_messages import (
-    Heartbeat,
     RefuseWork,
     StartWork,
     Ticket,
@@ -21,12 +20,14 @@
     OfferWithdrawn,
     PeerStateReply,
     PeerStateRequest,
+    RepeatedRunChanged,
     RoutesReplaced,
     ServiceChanged,
     ShutdownStarted,
     UpstreamChanged,
     UpstreamReported,
 )
+from cyclamentally_calls.calls import echo_of, request_id_of
 from cyclamentally_calls.client_connection import ConnectionPool, OutgoingRequest
 from cyclamentally_calls.http_codec import Response, encode_request
 from cyclamentally_calls.loop import Task
@@ -44,7 +45,11 @@
     ServerConnection,
 )
 from cyclamentally_calls.stream import Listener
-from cyclamentally_calls.upstream_codec import classify_result, encode_upstream_request
+from cyclamentally_calls.upstream_codec import (
+    classify_result,
+    decode_liveness,
+    encode_upstream_request,
+)
 from cyclamentally_calls.work import Work
 
 MS_PER_S = 1_000
@@ -107,6 +112,7 @@
         "names",
         "local_upstream",
         "number",
+        "outbound",
         "pacer",
         "pool",
         "publication",
@@ -136,6 +142,7 @@
         self.number = 0
         self.publication = Publication()
         self.version = 0
+        self.outbound = None
         self.timer = None
 
     def start(self):
@@ -235,7 +242,7 @@
             now + peer_ticket.left_s,
             isinstance(requester, PeerRequester),
         )
-        work = Work(requester, request, ticket)
+        work = Work(requester, request, ticket, peer_ticket.is_repeat)
         self.works[ticket.number] = work
         self._carry_out(self.gate.admit(ticket, now))
         return work if ticket.number in self.works else None
@@ -279,14 +286,10 @@
             detail = getattr(result, "detail", "status is not 200")
             self.log.write("liveness_check_failed", detail=detail)
             return
-        name = result.response.find(self.names.upstream_name.lower).decode("latin-1")
-        load = result.response.find(self.names.upstream_load.lower).split(b",")
-        if not name or not load[-1].strip().isdigit():
+        heartbeat = decode_liveness(result.response, self.local_upstream, self.names)
+        if heartbeat is None:
             self.log.write("liveness_check_failed", detail="no upstream name or slots")
             return
-        slots = max(1, int(load[-1]))
-        local = self.local_upstream
-        heartbeat = Heartbeat(name, local.service, local.address, 0, 0, slots, False)
         self._carry_out(self.gate.on_liveness_check(heartbeat, self.loop.clock()))
         self._publish()
 
@@ -329,18 +332,16 @@
     def _start_work(self, effect):
         work = self.works[effect.number]
         left_s = work.ticket.expires - self.loop.clock()
-        heartbeat = effect.heartbeat
-        names = self.names
-        request = work.request
+        heartbeat, names, request = effect.heartbeat, self.names, work.request
         data = encode_upstream_request(request, heartbeat.upstream, left_s, names)
-        request_id = request.find(names.request_id.lower)
-        echo = (names.request_id.lower, request_id) if request_id else None
         work.outgoing = OutgoingRequest(
             data,
-            echo,
+            echo_of(request, names),
             lambda result: self._finish_work(work, result),
             request.method == b"HEAD",
         )
+        if work.is_repeat:
+            self._report_repeat(work, is_running=True)
         self.pool.send(heartbeat.address, work.outgoing, work.ticket.expires)
 
     def _finish_work(self, work, result):
@@ -351,7 +352,7 @@
             self.counters.add("upstream_failures_total", outcome.kind)
             self.log.write(
                 "upstream_failure",
-                id=work.request.find(self.names.request_id.lower).decode("latin-1"),
+                id=request_id_of(work.request, self.names),
                 upstream=work.ticket.upstream,
                 kind=outcome.kind,
                 detail=outcome.detail,
@@ -361,7 +362,8 @@
             size = len(outcome.value.body)
             self.gate.uplink.update_size(work.ticket.route, size)
         now = self.loop.clock()
-        effects = self.gate.finish(work.ticket.number, is_answered, now)
+        is_shed = getattr(outcome, "kind", None) == Kind.UPSTREAM_OVERLOADED
+        effects = self.gate.finish(work.ticket.number, is_answered, now, is_shed)
         self._resolve(work, outcome)
         self._carry_out(effects)
 
@@ -373,13 +375,18 @@
         self._remove(work)
         work.requester.resolve(outcome, self.gate.load(work.ticket.route))
 
+    def _report_repeat(self, work, is_running):
+        request_id = request_id_of(work.request, self.names)
+        self.loop.post(self.outbound, RepeatedRunChanged(request_id, is_running))
+
     def _remove(self, work):
         self.works.pop(work.ticket.number, None)
-        requester = work.requester
-        if isinstance(requester, PeerRequester):
-            self.by_exchange.pop(requester.exchange, None)
+        if work.is_repeat:
+            self._report_repeat(work, is_running=False)
+        if isinstance(work.requester, PeerRequester):
+            self.by_exchange.pop(work.requester.exchange, None)
         else:
-            self.by_offer.pop(requester.number, None)
+            self.by_offer.pop(work.requester.number, None)
 
     def _tick(self):
         now = self.loop.clock()
--- a/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
@@ -243,5 +243,6 @@
             self.log,
         )
         outbound.gate = self.gate
+        self.gate.outbound = outbound
         outbound.store = self.store
         return outbound
--- a/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
@@ -2,10 +2,11 @@
 
 from functools import partial
 
-from cyclamentally.budgets import ServiceRetryBudget
+from cyclamentally.budgets import RetryBudgets
 from cyclamentally.errors import Done, Kind, Refused
 from cyclamentally.forwarding import Forwarding, OfferResult, no_upstream, time_over
 from cyclamentally.placing import pause_for_refusal
+from cyclamentally.repeated_runs import RepeatedRuns
 from cyclamentally.routes import DEFAULT_LIMITS
 from cyclamentally_calls.call_events import (
     DrainConnections,
@@ -16,6 +17,7 @@
     Offer,
     OfferDone,
     OfferWithdrawn,
+    RepeatedRunChanged,
     RoutesReplaced,
     ServiceChanged,
 )
@@ -29,6 +31,7 @@
     Call,
     call_fields,
     count_response,
+    echo_of,
     refusal_fields,
     request_id_of,
 )
@@ -82,7 +85,6 @@
     """
 
     __slots__ = (
-        "budget_rule",
         "budgets",
         "by_exchange",
         "calls",
@@ -100,6 +102,7 @@
         "peer_address",
         "upstreams",
         "pool",
+        "repeated_runs",
         "service",
         "store",
         "table",
@@ -126,7 +129,7 @@
         self.names = names
         self.upstreams = upstreams
         self.round_robin = round_robin
-        self.budget_rule = budget_rule
+        self.budgets = RetryBudgets(budget_rule)
         self.counters = counters
         self.log = log
         self.listener = Listener(loop, address, self._accept, log.listener_failed)
@@ -137,9 +140,9 @@
         self.limits = DEFAULT_LIMITS
         self.table = None
         self.hosts = {}
-        self.budgets = {}
         self.calls = {}
         self.by_exchange = {}
+        self.repeated_runs = RepeatedRuns()
         self.number = 0
         self.gate = None
         self.store = None
@@ -165,6 +168,8 @@
             self.upstreams.update(e for group in self.hosts.values() for e in group)
         elif isinstance(message, RoutesReplaced):
             self._replace_routes(message.table)
+        elif isinstance(message, RepeatedRunChanged):
+            self.repeated_runs.update(message.request_id, message.is_running)
         elif isinstance(message, ServiceChanged):
             self.service = message.service
         elif isinstance(message, DrainConnections):
@@ -190,13 +195,11 @@
             return
         service = self.round_robin.choose(rule)
         expires = exchange.arrived + timeout_of(request, rule, self.names)
-        budget = self.budgets.get(service)
-        if budget is None:
-            budget = self.budgets[service] = ServiceRetryBudget(self.budget_rule)
-        budget.note_first_send(self.loop.clock())
+        is_repeat = self.repeated_runs.has_made(request_id_of(request, self.names))
+        budget = self.budgets.note_request(service, is_repeat, self.loop.clock())
         self.number += 1
         forwarding = Forwarding(
-            self.number, rule, service, exchange.arrived, expires, budget
+            self.number, rule, service, exchange.arrived, expires, budget, is_repeat
         )
         call = Call(
             exchange, forwarding, forwarded_headers(request, self.service, self.names)
@@ -265,8 +268,7 @@
 
     def _offer(self, call, view, now):
         forwarding = call.forwarding
-        request = call.exchange.request
-        upstream = view.entry.upstream
+        request, upstream = call.exchange.request, view.entry.upstream
         ticket = PeerTicket(
             upstream.name,
             upstream.service,
@@ -276,17 +278,16 @@
             forwarding.expires - now,
             self.peer_address,
             self.table.version,
+            forwarding.is_repeat,
         )
         if view.entry.name == self.host:
             offered = with_headers(request, call.headers)
             self.loop.post(self.gate, Offer(forwarding.number, self, ticket, offered))
             return
         data = encode_offer(with_headers(request, call.headers), ticket)
-        name = self.names.request_id.lower
-        echo = (name, request.find(name)) if request.find(name) else None
         on_outcome = partial(self._handle_peer_result, call)
         call.outgoing = OutgoingRequest(
-            data, echo, on_outcome, request.method == b"HEAD"
+            data, echo_of(request, self.names), on_outcome, request.method == b"HEAD"
         )
         self.pool.send(view.entry.address, call.outgoing, forwarding.expires)
 
@@ -340,9 +341,8 @@
 
     def _finish(self, call, event, refusal):
         nodes = len(self.upstreams.views)
-        call.forwarding.fire(
-            event, OfferResult(None, refusal, self.loop.clock(), nodes)
-        )
+        result = OfferResult(None, refusal, self.loop.clock(), nodes)
+        call.forwarding.fire(event, result)
         self._advance(call)
 
     def _time_out(self, call):
--- a/packages/cyclamentally-calls/cyclamentally_calls/peer_codec.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/peer_codec.py
@@ -14,6 +14,8 @@
 )
 REFUSED_STATUS = 503
 MS_PER_S = 1_000
+# Number of fields that every ticket has. A later build may add fields; the first of
+# them is present only in tickets of repeats.
 TICKET_FIELDS = 8
 
 
@@ -34,9 +36,12 @@
         ``IP:port`` of the sending node.
     version : int
         Version of the sending node's configuration.
+    is_repeat : bool
+        Whether its run repeats an earlier one, or a call of an earlier one.
     """
 
     __slots__ = (
+        "is_repeat",
         "left_s",
         "priority",
         "route",
@@ -48,7 +53,16 @@
     )
 
     def __init__(
-        self, upstream, service, route, priority, target_s, left_s, sender, version
+        self,
+        upstream,
+        service,
+        route,
+        priority,
+        target_s,
+        left_s,
+        sender,
+        version,
+        is_repeat=False,
     ):
         self.upstream = upstream
         self.service = service
@@ -58,6 +72,7 @@
         self.left_s = left_s
         self.sender = sender
         self.version = version
+        self.is_repeat = is_repeat
 
 
 def encode_ticket(ticket):
@@ -72,6 +87,8 @@
         ticket.sender,
         ticket.version,
     ]
+    if ticket.is_repeat:
+        fields.append(True)
     return (TICKET_HEADER, encode(fields))
 
 
@@ -81,9 +98,11 @@
         fields = decode(value)
     except DecodeError:
         return None
-    if not isinstance(fields, list) or len(fields) != TICKET_FIELDS:
+    if not isinstance(fields, list) or len(fields) < TICKET_FIELDS:
         return None
-    upstream, service, route, priority, target_ms, left_ms, sender, version = fields
+    upstream, service, route, priority, target_ms, left_ms, sender, version = fields[
+        :TICKET_FIELDS
+    ]
     if not all(isinstance(text, str) for text in (upstream, service, route, sender)):
         return None
     numbers = (priority, target_ms, left_ms, version)
@@ -98,6 +117,7 @@
         left_ms / MS_PER_S,
         sender,
         version,
+        fields[TICKET_FIELDS:][:1] == [True],
     )
 
 
@@ -123,13 +143,18 @@
 def encode_load(load):
     """Return the header that carries a `Load`."""
     service_ms = int(load.service_time_s * MS_PER_S)
-    return (LOAD_HEADER, encode([load.busy, load.waiting, load.slots, service_ms]))
+    fields = [load.busy, load.waiting, load.slots, service_ms]
+    if load.shed_share:
+        fields.append(round(load.shed_share, 2))
+    return (LOAD_HEADER, encode(fields))
 
 
 def decode_load(value):
     """Return the `Load` of a header value, or None if it is invalid."""
     try:
-        busy, waiting, slots, service_ms = decode(value)
-        return Load(int(busy), int(waiting), int(slots), service_ms / MS_PER_S)
+        busy, waiting, slots, service_ms, *others = decode(value)
+        shed_share = float(others[0]) if others else 0.0
+        service_time_s = service_ms / MS_PER_S
+        return Load(int(busy), int(waiting), int(slots), service_time_s, shed_share)
     except (DecodeError, ValueError, TypeError):
         return None
--- a/packages/cyclamentally-calls/cyclamentally_calls/upstream_codec.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/upstream_codec.py
@@ -1,6 +1,7 @@
 """Encoding of requests for an upstream, and validation of its responses."""
 
 from cyclamentally.errors import Done, Kind, Refused
+from cyclamentally.gate_messages import Heartbeat
 from cyclamentally_calls.http_codec import Response, encode_request, end_to_end_headers
 from cyclamentally_calls.outcomes import Answered, Lost
 from cyclamentally_calls.peer_codec import PEER_HEADERS
@@ -66,3 +67,24 @@
     return Done(
         Response(response.status, headers, response.body, length=response.length)
     )
+
+
+def decode_liveness(response, local, names):
+    """Return what a liveness check tells as a `Heartbeat`, or None if it names no one.
+
+    Parameters
+    ----------
+    response : Response
+        Response to the check.
+    local : LocalUpstream
+        The upstream that was asked.
+    names : HeaderNames
+        Headers shared with upstreams.
+    """
+    name = response.find(names.upstream_name.lower).decode("latin-1")
+    slots = response.find(names.upstream_load.lower).split(b",")[-1].strip()
+    if not name or not slots.isdigit():
+        return None
+    return Heartbeat(
+        name, local.service, local.address, 0, 0, max(1, int(slots)), False
+    )
--- a/packages/cyclamentally-calls/cyclamentally_calls/work.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/work.py
@@ -33,11 +33,14 @@
         The request for the upstream.
     ticket : Ticket
         The gate's data on the request.
+    is_repeat : bool
+        Whether its run repeats an earlier one.
     """
 
-    __slots__ = ("requester", "request", "outgoing", "ticket")
+    __slots__ = ("is_repeat", "outgoing", "request", "requester", "ticket")
 
-    def __init__(self, requester, request, ticket):
+    def __init__(self, requester, request, ticket, is_repeat):
+        self.is_repeat = is_repeat
         self.requester = requester
         self.request = request
         self.ticket = ticket
--- a/packages/cyclamentally/cyclamentally/budgets.py
+++ b/packages/cyclamentally/cyclamentally/budgets.py
@@ -44,6 +44,11 @@
         self.first_sends.append(now)
         self._drop_expired(now)
 
+    def note_repeat(self, now):
+        """Count a repeat that the budget could not prevent."""
+        self.repeats.append(now)
+        self._drop_expired(now)
+
     def take(self, now, nodes):
         """Spend one retry; return whether the budget allowed it.
 
@@ -67,3 +72,30 @@
         for times in (self.first_sends, self.repeats):
             while times and times[0] < start:
                 times.popleft()
+
+
+class RetryBudgets:
+    """The retry budgets of all services that this node sends requests to.
+
+    Parameters
+    ----------
+    rule : RetryBudgetRule
+        The operator's limit, the same for each service.
+    """
+
+    __slots__ = ("by_service", "rule")
+
+    def __init__(self, rule):
+        self.rule = rule
+        self.by_service = {}
+
+    def note_request(self, service, is_repeat, now):
+        """Count a new request, or a call that repeats one; returns the budget."""
+        budget = self.by_service.get(service)
+        if budget is None:
+            budget = self.by_service[service] = ServiceRetryBudget(self.rule)
+        if is_repeat:
+            budget.note_repeat(now)
+        else:
+            budget.note_first_send(now)
+        return budget
--- a/packages/cyclamentally/cyclamentally/forwarding.py
+++ b/packages/cyclamentally/cyclamentally/forwarding.py
@@ -55,6 +55,8 @@
         Arrival and deadline, times in seconds.
     budget : ServiceRetryBudget
         Retry budget of the service.
+    is_call_of_repeat : bool
+        Whether a repeated run of another request has made this one.
     """
 
     __slots__ = (
@@ -63,6 +65,7 @@
         "budget",
         "expires",
         "arrived",
+        "is_call_of_repeat",
         "losses",
         "number",
         "offers",
@@ -75,13 +78,23 @@
         "wait",
     )
 
-    def __init__(self, number, rule, service, arrived, expires, budget):
+    def __init__(
+        self,
+        number,
+        rule,
+        service,
+        arrived,
+        expires,
+        budget,
+        is_call_of_repeat=False,
+    ):
         self.number = number
         self.rule = rule
         self.service = service
         self.arrived = arrived
         self.expires = expires
         self.budget = budget
+        self.is_call_of_repeat = is_call_of_repeat
         self.state = self.chart.initial
         self.answer = None
         self.attempts = 0
@@ -92,6 +105,11 @@
         self.view = None
         self.wait = None
 
+    @property
+    def is_repeat(self):
+        """Whether its next run repeats a run or an arrival at an upstream."""
+        return self.is_call_of_repeat or self.attempts > 0
+
     def fire(self, event, message=None):
         """Run an event and return the effects."""
         return self.chart.fire(self, event, message)
--- a/packages/cyclamentally/cyclamentally/gate.py
+++ b/packages/cyclamentally/cyclamentally/gate.py
@@ -8,7 +8,6 @@
 from cyclamentally.effects import Count, StateChanged
 from cyclamentally.errors import Kind, Refused
 from cyclamentally.gate_messages import (
-    DEFAULT_SERVICE_TIME_S,
     Heartbeat,
     Load,
     RecordedEnd,
@@ -16,18 +15,10 @@
     Running,
     StartWork,
 )
+from cyclamentally.service_times import ServiceTimes
+from cyclamentally.shedding import ShedShare
 from cyclamentally.uplink import Uplink
 
-# Follows a change of an upstream's speed within about seven requests.
-SERVICE_TIME_EWMA_WEIGHT = 0.15
-# Bounds the memory for service times; configurations have up to 2,000 routes.
-MAX_KNOWN_ROUTES = 256
-# A request counts as able to meet its target or deadline if this multiple of its
-# route's mean service time is left. Smaller values start requests that cannot finish
-# in time: at 0.6, 37% of the runs of one service had no good result under the
-# heaviest load; at 1.0 for the target, a third of the lookups of a fast service were
-# late, and fewer at 1.3.
-SERVICE_TIME_MARGIN = 1.3
 # Limit of queued requests that will miss their target, as a share of the slots.
 # Within a priority they start after all others, so with a higher limit they would
 # only wait longer (`test_gate_under_load.py`).
@@ -61,6 +52,7 @@
         "admitted_late",
         "running",
         "service_times",
+        "shed_share",
         "state",
         "uplink",
         "waiting",
@@ -79,7 +71,8 @@
         # their target.
         self.admitted_late = set()
         self.running = {}
-        self.service_times = {}
+        self.service_times = ServiceTimes()
+        self.shed_share = ShedShare()
 
     # Guards and actions of the chart.
 
@@ -123,7 +116,8 @@
         effects = self.refuse_waiting(heartbeat)
         self.heartbeat = heartbeat
         self.running = {}
-        self.service_times = {}
+        self.service_times = ServiceTimes()
+        self.shed_share = ShedShare()
         return effects
 
     def note_heartbeat(self, heartbeat):
@@ -222,12 +216,28 @@
             self.uplink.reserve(ticket.number, ticket.route)
         return self._start_waiting(now)
 
-    def finish(self, number, is_answered, now):
-        """Free the slot of a request; returns effects."""
+    def finish(self, number, is_answered, now, is_shed=False):
+        """Free the slot of a request; returns effects.
+
+        Parameters
+        ----------
+        number : int
+            Number of the request.
+        is_answered : bool
+            Whether the upstream has answered it.
+        now : float
+            Time in seconds.
+        is_shed : bool
+            Whether the upstream has rejected it without running it.
+        """
         self.uplink.release(number)
         running = self.running.pop(number, None)
-        if running is not None and is_answered:
-            self._update_service_time(running.ticket.route, now - running.since)
+        if running is None:
+            return self._start_waiting(now)
+        if is_answered:
+            self.service_times.update(running.ticket.route, now - running.since)
+        if is_answered or is_shed:
+            self.shed_share.note(is_shed)
         return self._start_waiting(now)
 
     def cancel(self, number):
@@ -244,12 +254,9 @@
     def load(self, route):
         """Return the `Load`; the delay on the link is part of its expected time."""
         slots = self.heartbeat.slots if self.heartbeat else 1
-        usual = self.mean_service_time(route) + self.uplink.delay(route)
-        return Load(len(self.running), len(self.waiting), slots, usual)
-
-    def mean_service_time(self, route):
-        """Return the moving average of a route's service times, in seconds."""
-        return self.service_times.get(route, DEFAULT_SERVICE_TIME_S)
+        usual = self.service_times.mean(route) + self.uplink.delay(route)
+        share = self.shed_share.share
+        return Load(len(self.running), len(self.waiting), slots, usual, share)
 
     def expected_wait(self, ticket, now):
         """Return the expected time until a request would start, in seconds."""
@@ -260,7 +267,7 @@
         own = self._queue_key(ticket, now)
         for other in self.waiting:
             if self._queue_key(other, now) <= own:
-                work += self.mean_service_time(other.route)
+                work += self.service_times.mean(other.route)
         return work / self.heartbeat.slots
 
     def _check(self, ticket):
@@ -284,7 +291,7 @@
         return None
 
     def _remaining_time(self, running, now):
-        usual = self.mean_service_time(running.ticket.route)
+        usual = self.service_times.mean(running.ticket.route)
         # A request that exceeds the mean is assumed to need half the mean longer.
         return max(usual - (now - running.since), usual / 2)
 
@@ -298,7 +305,7 @@
         return (ticket.priority, is_late, ticket.expires if is_late else ticket.target)
 
     def _is_late(self, ticket, start):
-        needed = SERVICE_TIME_MARGIN * self.mean_service_time(ticket.route)
+        needed = self.service_times.needed(ticket.route)
         return start + needed > ticket.target
 
     def _exceeds_late_limit(self, ticket, now, wait):
@@ -314,13 +321,13 @@
         return max(1, int(MAX_LATE_SHARE_OF_SLOTS * self.heartbeat.slots))
 
     def _is_link_full(self, ticket, start):
-        needed = SERVICE_TIME_MARGIN * self.mean_service_time(ticket.route)
+        needed = self.service_times.needed(ticket.route)
         return self.uplink.would_miss_target(
             ticket.route, ticket.target - start - needed
         )
 
     def _meets_deadline(self, ticket, start):
-        needed = SERVICE_TIME_MARGIN * self.mean_service_time(ticket.route)
+        needed = self.service_times.needed(ticket.route)
         return start + needed <= ticket.expires
 
     def _wait_hint(self, now):
@@ -329,7 +336,7 @@
         By then all running and queued requests are expected to be finished.
         """
         work = sum(self._remaining_time(r, now) for r in self.running.values())
-        work += sum(self.mean_service_time(t.route) for t in self.waiting)
+        work += sum(self.service_times.mean(t.route) for t in self.waiting)
         return max(MIN_RETRY_WAIT_S, work / self.heartbeat.slots)
 
     def _start_waiting(self, now):
@@ -344,9 +351,7 @@
                 effects.append(StartWork(ticket.number, self.heartbeat))
             else:
                 hint = self._wait_hint(now)
-                detail = (
-                    f"too late to run, {ticket.expires - now:.3f} s to the deadline"
-                )
+                detail = f"too late, {ticket.expires - now:.3f} s to the deadline"
                 effects.append(self._refuse(ticket, Kind.QUEUE_TIMEOUT, detail, hint))
         return effects + self._expire_waiting(now)
 
@@ -374,16 +379,6 @@
         refusal = Refused(kind, f"{ticket.service}: {detail}", wait)
         return RefuseWork(ticket.number, refusal)
 
-    def _update_service_time(self, route, duration):
-        known = self.service_times.get(route)
-        if known is None and len(self.service_times) >= MAX_KNOWN_ROUTES:
-            return
-        if known is None:
-            known = duration
-        self.service_times[route] = known + SERVICE_TIME_EWMA_WEIGHT * (
-            duration - known
-        )
-
     def _fire(self, event, message):
         before = self.state
         effects = self.chart.fire(self, event, message)
--- a/packages/cyclamentally/cyclamentally/gate_messages.py
+++ b/packages/cyclamentally/cyclamentally/gate_messages.py
@@ -173,15 +173,18 @@
         Running requests, queued requests, and the limit of running ones.
     service_time_s : float
         Expected time of a request on the route in question, in seconds.
+    shed_share : float
+        Share of the recent requests that the upstream has rejected, 0 to 1.
     """
 
-    __slots__ = ("busy", "waiting", "slots", "service_time_s")
+    __slots__ = ("busy", "waiting", "slots", "service_time_s", "shed_share")
 
-    def __init__(self, busy, waiting, slots, service_time_s):
+    def __init__(self, busy, waiting, slots, service_time_s, shed_share=0.0):
         self.busy = busy
         self.waiting = waiting
         self.slots = slots
         self.service_time_s = service_time_s
+        self.shed_share = shed_share
 
 
 class Running(Record):
--- a/packages/cyclamentally/cyclamentally/placing.py
+++ b/packages/cyclamentally/cyclamentally/placing.py
@@ -41,6 +41,11 @@
 # Upper bound of the pause if the gate names a wait. The wait is an estimate; longer
 # pauses would leave slots unused.
 QUEUE_FULL_PAUSE_S = 0.05
+# The reported share of shed requests loses half of its weight in this time; then the
+# upstream is tried again.
+SHED_HALF_LIFE_S = 2.0
+# Upstreams that shed at most this share more than the best one are equal to it.
+SHED_TOLERANCE = 0.1
 # Exponential backoff for a host that does not answer or cannot reach its upstream.
 # The maximum lets a host that is back be found within about a heartbeat of its
 # upstream.
@@ -123,6 +128,13 @@
         faded = known * 0.5 ** (age / LOAD_HALF_LIFE_S)
         return max(self.in_flight, faded + self.sent_since_load)
 
+    def shed_share(self, now):
+        """Return the expected share of requests that the upstream rejects."""
+        if self.load is None or not self.load.shed_share:
+            return 0.0
+        age = now - self.load_known_at
+        return self.load.shed_share * 0.5 ** (age / SHED_HALF_LIFE_S)
+
     def finish_time(self, route, now):
         """Return the expected time until an answer, in seconds."""
         usual = self.service_times.get(route, DEFAULT_SERVICE_TIME_S)
@@ -159,7 +171,16 @@
         self.random = random
 
     def choose(self, views, rule, now):
-        """Return a nearest view with capacity, or one of least expected cost."""
+        """Return a nearest view with capacity, or one of least expected cost.
+
+        Upstreams that shed more than others are left out, wherever they are.
+        """
+        shares = [view.shed_share(now) for view in views]
+        bound = min(shares) + SHED_TOLERANCE
+        if max(shares) > bound:
+            views = [
+                v for v, share in zip(views, shares, strict=True) if share <= bound
+            ]
         with_capacity = [view for view in views if self._has_capacity(view, rule, now)]
         if with_capacity:
             nearest = min(view.distance_s for view in with_capacity)
--- a/packages/cyclamentally/cyclamentally/tests/test_gate.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_gate.py
@@ -3,8 +3,14 @@
 import pytest
 
 from cyclamentally.errors import Kind
-from cyclamentally.gate import DEFAULT_SERVICE_TIME_S, MAX_HEARTBEAT_DELAY_S, Gate
-from cyclamentally.gate_messages import Heartbeat, RefuseWork, StartWork, Ticket
+from cyclamentally.gate import MAX_HEARTBEAT_DELAY_S, Gate
+from cyclamentally.gate_messages import (
+    DEFAULT_SERVICE_TIME_S,
+    Heartbeat,
+    RefuseWork,
+    StartWork,
+    Ticket,
+)
 from cyclamentally.publication import Publication
 
 
@@ -178,8 +184,8 @@
 def test_service_times_are_learnt_by_route(gate):
     gate.admit(ticket(1), 0.0)
     gate.finish(1, True, 0.4)
-    assert gate.mean_service_time("route") == pytest.approx(0.4)
-    assert gate.mean_service_time("other") == DEFAULT_SERVICE_TIME_S
+    assert gate.service_times.mean("route") == pytest.approx(0.4)
+    assert gate.service_times.mean("other") == DEFAULT_SERVICE_TIME_S
 
 
 def test_requests_that_can_meet_their_target_start_before_late_ones(gate):
