Bound what a faulty server may send beside and in a body

A closed or pooled connection kept its last body and parser alive until the connect timer had run out or the next response came. Change: limits for the bytes that are no body, header lines and interim responses; for a body by kind of route; for all bodies without length, and all bodies, of a node together (the largest is given up). The connection is closed, the outcome is 'may have run'. Requests of callers get the same bound for a header line or chunk framing without end. ResponseParser and OutgoingRequest got modules of their own.

--- a/packages/cyclamentally-calls/cyclamentally_calls/client_connection.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/client_connection.py
@@ -1,70 +1,18 @@
 """The client side of HTTP/1.1 connections, and a pool with keep-alive."""
 
+from cyclamentally.body_budget import BodyBudget
 from cyclamentally.chart import runs_chart
-from cyclamentally_calls.http_codec import ResponseParser
 from cyclamentally_calls.outcomes import Answered, Lost, NotSent
+from cyclamentally_calls.response_parser import ResponseParser
 from cyclamentally_calls.stream import StreamOwner, connect
 
 # Pooled connections expire this long before the server's idle timeout, which its
 # Keep-Alive header states in whole seconds.
 IDLE_MARGIN_S = 1.0
-# Bounds the memory of one response; downloads have up to 0.6 MB.
-MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 # A connection that delivers more responses to other requests than this is closed.
 MAX_IGNORED_RESPONSES = 3
 
 
-class OutgoingRequest:
-    """One outgoing request and the callback for its outcome.
-
-    Parameters
-    ----------
-    data : bytes
-        The encoded request.
-    echo : tuple or None
-        Lower-case name and value of the header that the response must repeat.
-    on_outcome : callable
-        Takes `Answered`, `NotSent` or `Lost`; called once unless cancelled.
-    is_head : bool
-        Whether it is a HEAD request, whose response never has a body.
-    """
-
-    __slots__ = (
-        "response",
-        "connection",
-        "data",
-        "echo",
-        "is_head",
-        "on_outcome",
-        "timer",
-    )
-
-    def __init__(self, data, echo, on_outcome, is_head=False):
-        self.data = data
-        self.echo = echo
-        self.on_outcome = on_outcome
-        self.is_head = is_head
-        self.connection = None
-        self.response = None
-        self.timer = None
-
-    def cancel(self):
-        """Cancel the request; its connection is closed to tell the server."""
-        if self.timer is not None:
-            self.timer.cancel()
-        self.on_outcome = None
-        if self.connection is not None:
-            self.connection.fire("cancelled")
-
-    def finish(self, outcome):
-        """Report the outcome unless the request was cancelled."""
-        if self.timer is not None:
-            self.timer.cancel()
-        report, self.on_outcome = self.on_outcome, None
-        if report is not None:
-            report(outcome)
-
-
 @runs_chart("upstream_connection", "cyclamentally_calls.charts")
 class ClientConnection(StreamOwner):
     """One connection with at most one request; runs ``upstream_connection``.
@@ -81,6 +29,8 @@
 
     __slots__ = (
         "address",
+        "connect_timer",
+        "counted_bytes",
         "idle_timeout_s",
         "ignored_responses",
         "must_close",
@@ -102,7 +52,10 @@
         self.idle_timeout_s = pool.idle_timeout_s
         self.ignored_responses = 0
         self.must_close = False
+        # Bytes of the present body that the pool's budget knows of.
+        self.counted_bytes = 0
         outgoing.connection = self
+        self.connect_timer = None
         self.stream = connect(pool.loop, address, self)
         if pool.ack_timeout_s:
             self.stream.set_ack_timeout(pool.ack_timeout_s)
@@ -116,6 +69,7 @@
 
     def send_first(self, message):
         """Send the request that the connection was opened for."""
+        self._cancel_connect_timer()
         self.stream.write(self.outgoing.data)
 
     def may_be_kept(self, response):
@@ -133,6 +87,8 @@
 
     def return_to_pool(self, message):
         """Return the connection to the pool."""
+        self.counted_bytes = 0
+        self.pool.bodies.release(self)
         self.idle_since = self.pool.loop.clock()
         self.idle_timeout_s = keep_alive_timeout_s(
             self.outgoing.response, self.pool.idle_timeout_s
@@ -147,7 +103,10 @@
 
     def release(self, message):
         """Close the socket and leave the pool."""
+        self._cancel_connect_timer()
         self.stream.close()
+        self.parser.discard()
+        self.pool.bodies.release(self)
         self.pool.remove(self)
 
     def fail_unsent(self, reason):
@@ -213,8 +172,36 @@
             self.fire(
                 "spoiled", f"{self.ignored_responses} responses to other requests"
             )
-        elif self.parser.body_bytes > MAX_RESPONSE_BYTES:
-            self.fire("spoiled", f"response body exceeds {MAX_RESPONSE_BYTES} bytes")
+        else:
+            self._check_body()
+
+    def _check_body(self):
+        """Give up a body that exceeds its limit, or the largest one if memory is short.
+
+        A connection that is given up has failed: its request may have run.
+        """
+        limit = self.outgoing.max_body_bytes
+        length = self.parser.declared_length
+        if max(self.parser.body_bytes, length or 0) > limit:
+            self.fire("spoiled", f"response body exceeds {limit} bytes")
+            return
+        added = self.parser.body_bytes - self.counted_bytes
+        if added <= 0:
+            return
+        self.counted_bytes = self.parser.body_bytes
+        largest = self.pool.bodies.grow(self, added, length is not None)
+        if largest is not None:
+            largest.fire("spoiled", "response body exceeds the memory for bodies")
+
+    def time_out_connect(self):
+        """Give up a connection that has not been established in time."""
+        limit_s = self.pool.connect_timeout_s
+        self.fire("ended", f"connect timed out after {limit_s:g} s")
+
+    def _cancel_connect_timer(self):
+        if self.connect_timer is not None:
+            self.connect_timer.cancel()
+            self.connect_timer = None
 
     def _fail(self, outcome):
         self.release(None)
@@ -238,9 +225,12 @@
     ack_timeout_s : float
         Time without acknowledgements after which a connection is broken, in
         seconds; 0 keeps the system's default.
+    bodies : BodyBudget, optional
+        Memory for unfinished bodies, shared by the pools of a process.
     """
 
     __slots__ = (
+        "bodies",
         "connections",
         "connect_timeout_s",
         "idle",
@@ -250,8 +240,11 @@
         "ack_timeout_s",
     )
 
-    def __init__(self, loop, idle_timeout_s, connect_timeout_s, ack_timeout_s):
+    def __init__(
+        self, loop, idle_timeout_s, connect_timeout_s, ack_timeout_s, bodies=None
+    ):
         self.loop = loop
+        self.bodies = bodies or BodyBudget()
         self.idle_timeout_s = idle_timeout_s
         self.connect_timeout_s = connect_timeout_s
         self.ack_timeout_s = ack_timeout_s
@@ -277,8 +270,9 @@
         else:
             connection = ClientConnection(self, address, outgoing)
             self.connections.setdefault(address, set()).add(connection)
-            limit = self.loop.clock() + self.connect_timeout_s
-            self.loop.call_at(limit, lambda: self._check_connected(connection))
+            connection.connect_timer = self.loop.call_after(
+                self.connect_timeout_s, connection.time_out_connect
+            )
         if outgoing.on_outcome is not None:
             outgoing.timer = self.loop.call_at(deadline, lambda: _time_out(outgoing))
 
@@ -325,12 +319,6 @@
             connection.fire("cancelled")
         return None
 
-    def _check_connected(self, connection):
-        if connection.state == "connecting":
-            connection.fire(
-                "ended", f"connect timed out after {self.connect_timeout_s:g} s"
-            )
-
 
 def _time_out(outgoing):
     """Fail a request whose deadline has passed."""
--- a/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
@@ -2,6 +2,7 @@
 
 from time import time
 
+from cyclamentally.body_budget import max_body_bytes
 from cyclamentally.effects import Count, StateChanged
 from cyclamentally.errors import Done, Kind, Refused
 from cyclamentally.gate_messages import (
@@ -27,13 +28,16 @@
     UpstreamChanged,
     UpstreamReported,
 )
+from cyclamentally_calls.caller_codec import find_rule
 from cyclamentally_calls.calls import echo_of, request_id_of
-from cyclamentally_calls.client_connection import ConnectionPool, OutgoingRequest
-from cyclamentally_calls.http_codec import Response, encode_request
+from cyclamentally_calls.client_connection import ConnectionPool
+from cyclamentally_calls.http_codec import Response
 from cyclamentally_calls.loop import Task
 from cyclamentally_calls.outcomes import Answered
+from cyclamentally_calls.outgoing_request import OutgoingRequest
 from cyclamentally_calls.pacer import Pacer
 from cyclamentally_calls.peer_codec import (
+    REFUSED_STATUS,
     TICKET_HEADER,
     decode_ticket,
     encode_refusal,
@@ -48,6 +52,7 @@
 from cyclamentally_calls.upstream_codec import (
     classify_result,
     decode_liveness,
+    encode_liveness,
     encode_upstream_request,
 )
 from cyclamentally_calls.work import Work
@@ -72,7 +77,6 @@
 # caller's headers.
 PEER_LIMITS = CallerLimits(128 * 1024, 256 * 1024 * 1024, 5.0, 60.0)
 HTTP_OK = 200
-HTTP_UNAVAILABLE = 503
 
 
 class GateTask(Task, RequestHandler):
@@ -117,8 +121,8 @@
         "pool",
         "publication",
         "store",
+        "table",
         "timer",
-        "version",
         "works",
     )
 
@@ -141,7 +145,7 @@
         self.by_offer = {}
         self.number = 0
         self.publication = Publication()
-        self.version = 0
+        self.table = None
         self.outbound = None
         self.timer = None
 
@@ -173,7 +177,7 @@
         elif isinstance(message, RoutesReplaced):
             self._apply_routes(message.table)
         elif isinstance(message, PeerStateReply):
-            status = HTTP_OK if message.body else HTTP_UNAVAILABLE
+            status = HTTP_OK if message.body else REFUSED_STATUS
             message.exchange.respond(Response(status, [], message.body))
         elif isinstance(message, ServiceChanged):
             self.local_upstream.service = message.service
@@ -197,7 +201,7 @@
             )
             exchange.respond(self.refuse(exchange.request, refusal))
             return
-        if ticket.version > self.version:
+        if ticket.version > (self.table.version if self.table else 0):
             self.loop.post(self.store, NewerVersionSeen(ticket.sender, ticket.version))
         requester = PeerRequester(exchange, self.names.request_id)
         work = self._admit(requester, ticket, exchange.request)
@@ -260,7 +264,7 @@
         self._carry_out(effects)
 
     def _apply_routes(self, table):
-        self.version = table.version
+        self.table = table
         if not self.gate.has_routes:
             self.gate.on_routes_known()
             self._check_liveness(table.services.get(self.local_upstream.service))
@@ -274,21 +278,20 @@
         if rule is None:
             return
         address = self.local_upstream.address
-        path = rule.health_path.encode()
-        headers = [(b"Host", address.encode())]
-        data = encode_request(b"GET", path, headers, b"", False)
+        data = encode_liveness(address, rule.health_path)
         outgoing = OutgoingRequest(data, None, self._handle_liveness_result)
         self.counters.add("probes_total")
         self.pool.send(address, outgoing, self.loop.clock() + LIVENESS_TIMEOUT_S)
 
     def _handle_liveness_result(self, result):
-        if not isinstance(result, Answered) or result.response.status != HTTP_OK:
-            detail = getattr(result, "detail", "status is not 200")
-            self.log.write("liveness_check_failed", detail=detail)
-            return
-        heartbeat = decode_liveness(result.response, self.local_upstream, self.names)
+        heartbeat = None
+        if isinstance(result, Answered):
+            heartbeat = decode_liveness(
+                result.response, self.local_upstream, self.names
+            )
         if heartbeat is None:
-            self.log.write("liveness_check_failed", detail="no upstream name or slots")
+            detail = getattr(result, "detail", "not 200, or no upstream name or slots")
+            self.log.write("liveness_check_failed", detail=detail)
             return
         self._carry_out(self.gate.on_liveness_check(heartbeat, self.loop.clock()))
         self._publish()
@@ -333,12 +336,14 @@
         work = self.works[effect.number]
         left_s = work.ticket.expires - self.loop.clock()
         heartbeat, names, request = effect.heartbeat, self.names, work.request
+        limit = max_body_bytes(find_rule(self.table, request))
         data = encode_upstream_request(request, heartbeat.upstream, left_s, names)
         work.outgoing = OutgoingRequest(
             data,
             echo_of(request, names),
             lambda result: self._finish_work(work, result),
             request.method == b"HEAD",
+            limit,
         )
         if work.is_repeat:
             self._report_repeat(work, is_running=True)
--- a/packages/cyclamentally-calls/cyclamentally_calls/http_codec.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/http_codec.py
@@ -4,7 +4,6 @@
     HttpParserError,
     HttpParserUpgrade,
     HttpRequestParser,
-    HttpResponseParser,
 )
 
 HOP_BY_HOP_HEADERS = frozenset(
@@ -23,7 +22,8 @@
     )
 )
 STATUSES_WITHOUT_BODY = (204, 304)
-FIRST_FINAL_STATUS = 200
+# Framing of the smallest chunks, with one byte each, is this much of their body.
+MAX_FRAMING_RATIO = 6
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 REASONS = {
     200: b"OK",
@@ -136,6 +136,8 @@
         "in_body",
         "in_message",
         "parser",
+        "raw_bytes",
+        "read_bytes",
         "sink",
         "target",
     )
@@ -146,12 +148,18 @@
         self.in_message = False
         self.in_body = False
         self.error = ""
+        # Bytes of the present message. Where it began in the same read as another
+        # one ended, that read does not count.
+        self.raw_bytes = 0
+        self.read_bytes = 0
         self._reset()
 
     def feed(self, data):
         """Parse bytes; returns False from the first protocol error on."""
         if self.error:
             return False
+        self.raw_bytes += len(data)
+        self.read_bytes = len(data)
         try:
             self.parser.feed_data(data)
         except HttpParserUpgrade:
@@ -160,9 +168,18 @@
             self.error = str(error)
         return not self.error
 
+    def unparsed_bytes(self):
+        """Return the bytes of the present message that are no part of its body.
+
+        They hold a header line that has no end yet, trailers and framing.
+        """
+        framing = MAX_FRAMING_RATIO * self.body_bytes
+        return max(0, self.raw_bytes - self.body_bytes - framing)
+
     def on_message_begin(self):
         """Start a request."""
         self._reset()
+        self.raw_bytes = self.read_bytes
         self.in_message = True
 
     def on_url(self, part):
@@ -204,6 +221,7 @@
             self.parser.should_keep_alive(),
         )
         self._reset()
+        self.read_bytes = 0
         self.sink.on_request(request)
 
     def _reset(self):
@@ -215,102 +233,6 @@
         self.in_body = False
 
 
-class ResponseParser:
-    """Parse the responses of one connection.
-
-    Parameters
-    ----------
-    sink : object
-        Has ``on_response(response)``.
-    """
-
-    __slots__ = (
-        "body",
-        "body_bytes",
-        "error",
-        "headers",
-        "in_body",
-        "in_message",
-        "parser",
-        "sink",
-    )
-
-    def __init__(self, sink):
-        self.sink = sink
-        self.parser = HttpResponseParser(self)
-        self.in_message = False
-        self.headers = []
-        self.body = []
-        self.body_bytes = 0
-        self.in_body = False
-        self.error = ""
-
-    def feed(self, data):
-        """Parse bytes; returns False from the first protocol error on."""
-        if self.error:
-            return False
-        try:
-            self.parser.feed_data(data)
-        except (HttpParserError, HttpParserUpgrade) as error:
-            self.error = str(error) or "protocol upgrade"
-        return not self.error
-
-    def finish_at_close(self):
-        """Complete a response that is delimited by the close of the connection.
-
-        Returns whether there was one.
-        """
-        if not self.in_body or self.error:
-            return False
-        index = {name.lower() for name, _ in self.headers}
-        if b"content-length" in index or b"transfer-encoding" in index:
-            return False
-        self._emit_response(keep_alive=False)
-        return True
-
-    def finish_head_response(self):
-        """Complete the response to a HEAD request, which has no body."""
-        if self.in_body and not self.error:
-            self._emit_response(keep_alive=False)
-
-    def on_message_begin(self):
-        """Start a response."""
-        self.in_message = True
-        self.headers = []
-        self.body = []
-        self.body_bytes = 0
-        self.in_body = False
-
-    def on_header(self, name, value):
-        """Add a header; trailers are dropped."""
-        if not self.in_body:
-            self.headers.append((name, value))
-
-    def on_headers_complete(self):
-        """Start the body."""
-        self.in_body = True
-
-    def on_body(self, part):
-        """Add a part of the body."""
-        self.body.append(part)
-        self.body_bytes += len(part)
-
-    def on_message_complete(self):
-        """Pass a final response to the sink; interim ones are dropped."""
-        self._emit_response(self.parser.should_keep_alive())
-
-    def _emit_response(self, keep_alive):
-        self.in_body = False
-        self.in_message = False
-        status = self.parser.get_status_code()
-        if status >= FIRST_FINAL_STATUS:
-            body = b"".join(self.body)
-            response = Response(status, self.headers, body, keep_alive)
-            length = response.find(b"content-length")
-            response.length = int(length) if length.isdigit() else None
-            self.sink.on_response(response)
-
-
 def end_to_end_headers(headers, excluded):
     """Return the end-to-end headers that may be forwarded.
 
--- a/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
@@ -1,5 +1,6 @@
 """A node of the mesh: all its tasks on one event loop."""
 
+from cyclamentally.body_budget import BodyBudget
 from cyclamentally.gate import Gate
 from cyclamentally.placing import NearestWithCapacity, UpstreamViews
 from cyclamentally.routes import WeightedRoundRobin
@@ -244,5 +245,8 @@
         )
         outbound.gate = self.gate
         self.gate.outbound = outbound
+        bodies = BodyBudget()
+        for pool in (outbound.pool, self.gate.pool, self.store.client.pool):
+            pool.bodies = bodies
         outbound.store = self.store
         return outbound
--- a/packages/cyclamentally-calls/cyclamentally_calls/offer_codec.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/offer_codec.py
@@ -6,6 +6,7 @@
 from cyclamentally_calls.peer_codec import (
     LOAD_HEADER,
     REFUSED_HEADER,
+    PeerTicket,
     decode_load,
     decode_refusal,
     encode_ticket,
@@ -24,6 +25,34 @@
     )
 
 
+def make_ticket(forwarding, now, sender, version):
+    """Return the `PeerTicket` of an offer.
+
+    Parameters
+    ----------
+    forwarding : Forwarding
+        The request and the upstream that it is offered to.
+    now : float
+        Time in seconds.
+    sender : str
+        ``IP:port`` of this node.
+    version : int
+        Version of its configuration.
+    """
+    upstream, rule = forwarding.view.entry.upstream, forwarding.rule
+    return PeerTicket(
+        upstream.name,
+        upstream.service,
+        rule.name,
+        rule.priority,
+        forwarding.arrived + rule.target_s - now,
+        forwarding.expires - now,
+        sender,
+        version,
+        forwarding.is_repeat,
+    )
+
+
 def encode_offer(request, ticket):
     """Return the bytes of an offer: a request with its `PeerTicket`."""
     headers = [*request.headers, encode_ticket(ticket)]
--- a/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
@@ -2,6 +2,7 @@
 
 from functools import partial
 
+from cyclamentally.body_budget import max_body_bytes
 from cyclamentally.budgets import RetryBudgets
 from cyclamentally.errors import Done, Kind, Refused
 from cyclamentally.forwarding import Forwarding, OfferResult, no_upstream, time_over
@@ -35,16 +36,18 @@
     refusal_fields,
     request_id_of,
 )
-from cyclamentally_calls.client_connection import ConnectionPool, OutgoingRequest
+from cyclamentally_calls.client_connection import ConnectionPool
 from cyclamentally_calls.http_codec import Response, end_to_end_headers
 from cyclamentally_calls.loop import Task
 from cyclamentally_calls.offer_codec import (
     decode_offer_result,
     encode_offer,
+    make_ticket,
     with_headers,
 )
 from cyclamentally_calls.outcomes import Answered
-from cyclamentally_calls.peer_codec import PEER_HEADERS, PeerTicket
+from cyclamentally_calls.outgoing_request import OutgoingRequest
+from cyclamentally_calls.peer_codec import PEER_HEADERS
 from cyclamentally_calls.server_connection import RequestHandler, ServerConnection
 from cyclamentally_calls.stream import Listener
 
@@ -268,18 +271,8 @@
 
     def _offer(self, call, view, now):
         forwarding = call.forwarding
-        request, upstream = call.exchange.request, view.entry.upstream
-        ticket = PeerTicket(
-            upstream.name,
-            upstream.service,
-            forwarding.rule.name,
-            forwarding.rule.priority,
-            forwarding.arrived + forwarding.rule.target_s - now,
-            forwarding.expires - now,
-            self.peer_address,
-            self.table.version,
-            forwarding.is_repeat,
-        )
+        request = call.exchange.request
+        ticket = make_ticket(forwarding, now, self.peer_address, self.table.version)
         if view.entry.name == self.host:
             offered = with_headers(request, call.headers)
             self.loop.post(self.gate, Offer(forwarding.number, self, ticket, offered))
@@ -287,7 +280,11 @@
         data = encode_offer(with_headers(request, call.headers), ticket)
         on_outcome = partial(self._handle_peer_result, call)
         call.outgoing = OutgoingRequest(
-            data, echo_of(request, self.names), on_outcome, request.method == b"HEAD"
+            data,
+            echo_of(request, self.names),
+            on_outcome,
+            request.method == b"HEAD",
+            max_body_bytes(forwarding.rule),
         )
         self.pool.send(view.entry.address, call.outgoing, forwarding.expires)
 
--- /dev/null
+++ b/packages/cyclamentally-calls/cyclamentally_calls/outgoing_request.py
@@ -0,0 +1,65 @@
+"""A request to another process and the callback for its outcome."""
+
+from cyclamentally.body_budget import MAX_DOWNLOAD_BYTES
+
+
+class OutgoingRequest:
+    """One outgoing request and the callback for its outcome.
+
+    Parameters
+    ----------
+    data : bytes
+        The encoded request.
+    echo : tuple or None
+        Lower-case name and value of the header that the response must repeat.
+    on_outcome : callable
+        Takes `Answered`, `NotSent` or `Lost`; called once unless cancelled.
+    is_head : bool
+        Whether it is a HEAD request, whose response never has a body.
+    max_body_bytes : int
+        Limit of the response's body.
+    """
+
+    __slots__ = (
+        "response",
+        "connection",
+        "data",
+        "echo",
+        "is_head",
+        "max_body_bytes",
+        "on_outcome",
+        "timer",
+    )
+
+    def __init__(
+        self,
+        data,
+        echo,
+        on_outcome,
+        is_head=False,
+        max_body_bytes=MAX_DOWNLOAD_BYTES,
+    ):
+        self.max_body_bytes = max_body_bytes
+        self.data = data
+        self.echo = echo
+        self.on_outcome = on_outcome
+        self.is_head = is_head
+        self.connection = None
+        self.response = None
+        self.timer = None
+
+    def cancel(self):
+        """Cancel the request; its connection is closed to tell the server."""
+        if self.timer is not None:
+            self.timer.cancel()
+        self.on_outcome = None
+        if self.connection is not None:
+            self.connection.fire("cancelled")
+
+    def finish(self, outcome):
+        """Report the outcome unless the request was cancelled."""
+        if self.timer is not None:
+            self.timer.cancel()
+        report, self.on_outcome = self.on_outcome, None
+        if report is not None:
+            report(outcome)
--- a/packages/cyclamentally-calls/cyclamentally_calls/server_connection.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/server_connection.py
@@ -172,7 +172,7 @@
         is_valid = self.parser.feed(data)
         if not is_valid:
             self._handle_parse_error()
-        elif self.parser.head_bytes > self.limits.header_bytes:
+        elif self._is_head_too_large():
             self._reject(
                 Kind.HEADERS_TOO_LARGE,
                 f"request head exceeds {self.limits.header_bytes} bytes",
@@ -183,6 +183,17 @@
                 f"request body exceeds {self.limits.body_bytes} bytes",
             )
 
+    def _is_head_too_large(self):
+        """Whether complete headers, or bytes that belong to no body, exceed the limit.
+
+        The separators of header lines do not count towards the limit, so the bytes
+        may be twice as many.
+        """
+        limit = self.limits.header_bytes
+        if self.parser.head_bytes > limit:
+            return True
+        return self.parser.in_message and self.parser.unparsed_bytes() > 2 * limit
+
     def on_end(self, reason):
         """Handle that the client closed the connection or that it failed."""
         self.fire("ended")
--- a/packages/cyclamentally-calls/cyclamentally_calls/store_client.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_client.py
@@ -4,9 +4,10 @@
 
 from cyclamentally.store_health import StoreHealth
 from cyclamentally.store_outcomes import StoreFailed
-from cyclamentally_calls.client_connection import ConnectionPool, OutgoingRequest
+from cyclamentally_calls.client_connection import ConnectionPool
 from cyclamentally_calls.http_codec import encode_request
 from cyclamentally_calls.outcomes import Answered
+from cyclamentally_calls.outgoing_request import OutgoingRequest
 
 # The store responds in milliseconds, a slow one in about 0.3 s.
 CALL_TIMEOUT_S = 1.0
--- a/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
@@ -30,11 +30,11 @@
     ShutdownStarted,
     UpstreamChanged,
 )
-from cyclamentally_calls.client_connection import OutgoingRequest
 from cyclamentally_calls.entry_codec import decode_entry, encode_entry
 from cyclamentally_calls.http_codec import encode_request
 from cyclamentally_calls.loop import Task
 from cyclamentally_calls.outcomes import Answered
+from cyclamentally_calls.outgoing_request import OutgoingRequest
 from cyclamentally_calls.peer_state import (
     STATE_TARGET,
     PeerState,
--- a/packages/cyclamentally-calls/cyclamentally_calls/tests/conftest.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/tests/conftest.py
@@ -4,9 +4,10 @@
 import pytest
 
 from cyclamentally.routes import CallerLimits
-from cyclamentally_calls.client_connection import ConnectionPool, OutgoingRequest
+from cyclamentally_calls.client_connection import ConnectionPool
 from cyclamentally_calls.http_codec import Response
 from cyclamentally_calls.loop import Loop
+from cyclamentally_calls.outgoing_request import OutgoingRequest
 from cyclamentally_calls.server_connection import (
     RequestHandler,
     ServerConnection,
--- a/packages/cyclamentally-calls/cyclamentally_calls/tests/test_client_connection.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/tests/test_client_connection.py
@@ -1,7 +1,7 @@
 import pytest
 
-from cyclamentally_calls.client_connection import OutgoingRequest
 from cyclamentally_calls.outcomes import Answered, Lost, NotSent
+from cyclamentally_calls.outgoing_request import OutgoingRequest
 
 
 def accept(upstream, pump):
--- a/packages/cyclamentally-calls/cyclamentally_calls/tests/test_server_connection.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/tests/test_server_connection.py
@@ -156,3 +156,21 @@
         return length >= len(body)
 
     pump.until(is_whole)
+
+
+def test_header_line_without_end_is_refused_before_memory_grows(caller, handler, pump):
+    """The limit of complete header lines never sees a line that does not end."""
+    caller.setblocking(True)
+    caller.sendall(b"GET /1 HTTP/1.1\r\nX: " + b"a" * 3_000)
+    pump.for_s(0.05)
+    assert caller.recv(1_000).startswith(b"HTTP/1.1 431 ")
+    assert handler.exchanges == []
+
+
+def test_chunk_extension_without_end_is_refused(caller, handler, pump):
+    caller.setblocking(True)
+    head = b"POST /1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    caller.sendall(head + b"1;x=" + b"y" * 3_000)
+    pump.for_s(0.05)
+    assert caller.recv(1_000).startswith(b"HTTP/1.1 431 ")
+    assert handler.exchanges == []
--- a/packages/cyclamentally-calls/cyclamentally_calls/upstream_codec.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/upstream_codec.py
@@ -69,6 +69,12 @@
     )
 
 
+def encode_liveness(address, path):
+    """Return the bytes of a liveness check of an upstream."""
+    headers = [(b"Host", address.encode())]
+    return encode_request(b"GET", path.encode(), headers, b"", False)
+
+
 def decode_liveness(response, local, names):
     """Return what a liveness check tells as a `Heartbeat`, or None if it names no one.
 
@@ -83,7 +89,7 @@
     """
     name = response.find(names.upstream_name.lower).decode("latin-1")
     slots = response.find(names.upstream_load.lower).split(b",")[-1].strip()
-    if not name or not slots.isdigit():
+    if response.status != HTTP_OK or not name or not slots.isdigit():
         return None
     return Heartbeat(
         name, local.service, local.address, 0, 0, max(1, int(slots)), False
