--- a/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
@@ -33,7 +33,6 @@
 from cyclamentally_calls.client_connection import ConnectionPool
 from cyclamentally_calls.http_codec import Response
 from cyclamentally_calls.loop import Task
-from cyclamentally_calls.outcomes import Answered
 from cyclamentally_calls.outgoing_request import OutgoingRequest
 from cyclamentally_calls.pacer import Pacer
 from cyclamentally_calls.peer_codec import (
@@ -284,11 +283,8 @@
         self.pool.send(address, outgoing, self.loop.clock() + LIVENESS_TIMEOUT_S)
 
     def _handle_liveness_result(self, result):
-        heartbeat = None
-        if isinstance(result, Answered):
-            heartbeat = decode_liveness(
-                result.response, self.local_upstream, self.names
-            )
+        response = getattr(result, "response", None)
+        heartbeat = decode_liveness(response, self.local_upstream, self.names)
         if heartbeat is None:
             detail = getattr(result, "detail", "not 200, or no upstream name or slots")
             self.log.write("liveness_check_failed", detail=detail)
--- a/packages/cyclamentally-calls/cyclamentally_calls/upstream_codec.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/upstream_codec.py
@@ -80,16 +80,18 @@
 
     Parameters
     ----------
-    response : Response
+    response : Response or None
         Response to the check.
     local : LocalUpstream
         The upstream that was asked.
     names : HeaderNames
         Headers shared with upstreams.
     """
+    if response is None or response.status != HTTP_OK:
+        return None
     name = response.find(names.upstream_name.lower).decode("latin-1")
     slots = response.find(names.upstream_load.lower).split(b",")[-1].strip()
-    if response.status != HTTP_OK or not name or not slots.isdigit():
+    if not name or not slots.isdigit():
         return None
     return Heartbeat(
         name, local.service, local.address, 0, 0, max(1, int(slots)), False
