Keep the process serving after an unexpected error

Cause: an exception in a handler, timer or task left Loop.run and ended the node with every request on it. Change: the loop hands unexpected exceptions to on_error, closes the connection whose handler raised, and goes on; the node counts (unexpected_errors_total) and logs them with their place.

--- a/packages/cyclamentally-calls/cyclamentally_calls/decision_log.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/decision_log.py
@@ -1,6 +1,8 @@
 """Structured log: one JSON line for each event, on standard output."""
 
 import os
+from pathlib import Path
+from traceback import extract_tb
 
 from msgspec.json import encode
 
@@ -79,6 +81,16 @@
         """Log that a listening socket could not accept a connection."""
         self.write("accept_failed", address=address, detail=reason)
 
+    def unexpected_error(self, error):
+        """Log an exception that no handler expects, with the place that raised it."""
+        place = extract_tb(error.__traceback__)[-1]
+        self.write(
+            "unexpected_error",
+            kind=type(error).__name__,
+            detail=str(error),
+            place=f"{Path(place.filename).name}:{place.lineno} {place.name}",
+        )
+
     def _flush_periodically(self):
         self.tokens = min(LINES_PER_S, self.tokens + LINES_PER_S * FLUSH_INTERVAL_S)
         self._flush()
--- a/packages/cyclamentally-calls/cyclamentally_calls/loop.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/loop.py
@@ -69,30 +69,51 @@
     ----------
     clock : callable
         Returns the time in seconds.
+    on_error : callable, optional
+        Takes an unexpected exception of a handler, callback or task, after which the
+        loop goes on. Without it, `run_once` raises the exception.
     """
 
     __slots__ = (
         "clock",
+        "failure_handlers",
         "handlers",
         "inbox",
         "is_running",
+        "on_error",
         "order",
         "poller",
         "timers",
     )
 
-    def __init__(self, clock=boot_time):
+    def __init__(self, clock=boot_time, on_error=None):
         self.clock = clock
+        self.on_error = on_error
         self.poller = epoll()
         self.handlers = {}
+        self.failure_handlers = {}
         self.timers = []
         self.inbox = deque()
         self.order = 0
         self.is_running = False
 
-    def watch(self, descriptor, events, handler):
-        """Register a handler for the epoll events of a descriptor."""
+    def watch(self, descriptor, events, handler, on_failure=None):
+        """Register a handler for the epoll events of a descriptor.
+
+        Parameters
+        ----------
+        descriptor : int
+            File descriptor.
+        events : int
+            Mask of epoll events.
+        handler : callable
+            Takes the events that have occurred.
+        on_failure : callable, optional
+            Called after an unexpected exception of the handler; gives the
+            descriptor up, whose unread input would run the handler again.
+        """
         self.handlers[descriptor] = handler
+        self.failure_handlers[descriptor] = on_failure
         self.poller.register(descriptor, events)
 
     def modify(self, descriptor, events):
@@ -101,6 +122,7 @@
 
     def unwatch(self, descriptor):
         """Unregister a descriptor; must precede closing it."""
+        self.failure_handlers.pop(descriptor, None)
         if self.handlers.pop(descriptor, None) is not None:
             self.poller.unregister(descriptor)
 
@@ -131,7 +153,8 @@
         for descriptor, events in self.poller.poll(self._poll_timeout(timeout_s)):
             handler = self.handlers.get(descriptor)
             if handler is not None:
-                handler(events)
+                if not self._call(handler, events):
+                    self._call(self.failure_handlers.get(descriptor) or _ignore)
                 self._deliver()
         self._run_timers()
         self._deliver()
@@ -156,10 +179,28 @@
         while self.timers and self.timers[0].when <= now:
             callback = heappop(self.timers).callback
             if callback is not None:
-                callback()
+                self._call(callback)
                 self._deliver()
 
     def _deliver(self):
         while self.inbox:
             task, message = self.inbox.popleft()
-            task.receive(message)
+            self._call(task.receive, message)
+
+    def _call(self, function, *arguments):
+        """Call a function; returns False if it raised an unexpected exception.
+
+        An error in one request must not end the requests of all others.
+        """
+        try:
+            function(*arguments)
+        except Exception as error:
+            if self.on_error is None:
+                raise
+            self.on_error(error)
+            return False
+        return True
+
+
+def _ignore():
+    """Do nothing: the descriptor is not given up."""
--- a/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
@@ -146,7 +146,7 @@
 
     def __init__(self, settings, dialects, random, read_service):
         self.settings = settings
-        self.loop = Loop()
+        self.loop = Loop(on_error=self._handle_unexpected_error)
         self.counters = Counters()
         self.log = DecisionLog(self.loop, settings.place.name)
         self.store = self._make_store(dialects, random)
@@ -201,6 +201,10 @@
         self.log.close()
         self.loop.close()
 
+    def _handle_unexpected_error(self, error):
+        self.counters.add("unexpected_errors_total", type(error).__name__)
+        self.log.unexpected_error(error)
+
     def _make_store(self, dialects, random):
         return StoreTask(
             self.loop,
--- a/packages/cyclamentally-calls/cyclamentally_calls/stream.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/stream.py
@@ -103,7 +103,7 @@
         self.paced_bytes = 0
         self.sent_bytes = 0
         self.events = EPOLLIN if is_connected else EPOLLOUT
-        loop.watch(self.descriptor, self.events, self._on_events)
+        loop.watch(self.descriptor, self.events, self._on_events, self.abort)
 
     def write(self, data):
         """Send bytes now, or buffer them until the socket is writable."""
@@ -158,6 +158,15 @@
             self.loop.unwatch(self.descriptor)
             self.socket.close()
 
+    def abort(self):
+        """End the connection after an unexpected error of its owner."""
+        self._end("unexpected error")
+
+    def read_pending(self):
+        """Read the bytes that have arrived already."""
+        while self.is_open and self.is_connected and self.has_input():
+            self._read()
+
     def set_ack_timeout(self, timeout_s):
         """Break the connection if the peer acknowledges nothing.
 
@@ -275,8 +284,9 @@
         self.loop.watch(self.socket.fileno(), EPOLLIN, self._accept)
 
     def close(self):
-        """Stop listening."""
+        """Accept the connections that are established already and stop listening."""
         if self.socket is not None:
+            self._accept(EPOLLIN)
             self.loop.unwatch(self.socket.fileno())
             self.socket.close()
             self.socket = None
--- a/packages/cyclamentally-node/cyclamentally_node/calls_loop.py
+++ b/packages/cyclamentally-node/cyclamentally_node/calls_loop.py
@@ -33,7 +33,7 @@
     __slots__ = ("inbox", "loop", "receiving", "sending", "task", "thread")
 
     def __init__(self, make_task):
-        self.loop = Loop()
+        self.loop = Loop(on_error=_log_unexpected_error)
         self.inbox = deque()
         self.receiving, self.sending = socketpair()
         for end in (self.receiving, self.sending):
@@ -90,3 +90,7 @@
                 self.loop.stop()
                 return
             self.loop.post(self.task, message)
+
+
+def _log_unexpected_error(error):
+    logger.error("calls: unexpected error", exc_info=error)
