--- a/packages/cyclamentally-calls/cyclamentally_calls/server_connection.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/server_connection.py
@@ -148,7 +148,8 @@
         self.chart.fire(self, event)
 
     def drain(self):
-        """Answer the requests that have been read, then close the connection."""
+        """Answer the requests that have arrived, then close the connection."""
+        self.stream.read_pending()
         self.fire("drain")
 
     def has_unsent(self):
--- a/packages/cyclamentally-calls/cyclamentally_calls/tests/conftest.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/tests/conftest.py
@@ -41,6 +41,7 @@
     def __init__(self):
         self.exchanges = []
         self.gone = []
+        self.connections = []
         self.closed = 0
 
     def on_request(self, exchange):
@@ -87,7 +88,7 @@
 @pytest.fixture
 def caller(loop, handler, limits):
     """A client socket connected to a `ServerConnection`."""
-    accepted = []
+    accepted = handler.connections
     listener = Listener(
         loop,
         "127.0.0.1:0",
--- a/packages/cyclamentally-calls/cyclamentally_calls/tests/test_server_connection.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/tests/test_server_connection.py
@@ -1,6 +1,9 @@
+from socket import create_connection
+
 import pytest
 
 from cyclamentally_calls.http_codec import Response
+from cyclamentally_calls.stream import Listener
 
 
 def received(caller):
@@ -174,3 +177,27 @@
     pump.for_s(0.05)
     assert caller.recv(1_000).startswith(b"HTTP/1.1 431 ")
     assert handler.exchanges == []
+
+
+def test_request_that_is_unread_when_the_connection_drains_is_answered(
+    caller, handler, pump
+):
+    """During a planned stop, bytes may have arrived that no poll has reported yet."""
+    caller.setblocking(True)
+    caller.sendall(b"GET /1 HTTP/1.1\r\n\r\n")
+    handler.connections[0].drain()
+    assert handler.targets() == [b"/1"]
+    handler.exchanges[0].respond(Response(200, [], b"done"))
+    pump.for_s(0.02)
+    assert caller.recv(1_000).endswith(b"done")
+
+
+def test_connection_in_the_backlog_is_accepted_when_the_listener_closes(loop):
+    accepted = []
+    listener = Listener(loop, "127.0.0.1:0", accepted.append, lambda *reason: None)
+    listener.start()
+    with create_connection(("127.0.0.1", listener.port), timeout=5.0) as client:
+        client.sendall(b"GET /1 HTTP/1.1\r\n\r\n")
+        listener.close()
+        assert len(accepted) == 1
+        accepted[0].close()
