Never send two requests with the same ID on one connection to an upstream

Cause: a copy of an earlier refusal is recognized by the request ID that it repeats. A request with the same ID, or none, on the same kept connection took the copy for its own refusal (REFUSED, TWICE). Change: the gate's pool remembers the IDs that a connection has carried and opens another for a repeated ID; a connection that carried a request without an ID is not kept.

--- a/packages/cyclamentally-calls/cyclamentally_calls/client_connection.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/client_connection.py
@@ -9,6 +9,8 @@
 # Pooled connections expire this long before the server's idle timeout, which its
 # Keep-Alive header states in whole seconds.
 IDLE_MARGIN_S = 1.0
+# Requests that one connection to an upstream carries; bounds the memory for their IDs.
+MAX_IDENTIFIED_REQUESTS = 1_000
 # A connection that delivers more responses to other requests than this is closed.
 MAX_IGNORED_RESPONSES = 3
 
@@ -38,6 +40,7 @@
         "pool",
         "outgoing",
         "idle_since",
+        "sent_echoes",
         "state",
         "stream",
     )
@@ -52,6 +55,7 @@
         self.idle_timeout_s = pool.idle_timeout_s
         self.ignored_responses = 0
         self.must_close = False
+        self.sent_echoes = {outgoing.echo}
         # Bytes of the present body that the pool's budget knows of.
         self.counted_bytes = 0
         outgoing.connection = self
@@ -64,6 +68,8 @@
         """Send a request on this idle connection."""
         self.outgoing = outgoing
         outgoing.connection = self
+        if self.pool.is_guarded:
+            self.sent_echoes.add(outgoing.echo)
         self.fire("sent")
         self.stream.write(outgoing.data)
 
@@ -72,9 +78,23 @@
         self._cancel_connect_timer()
         self.stream.write(self.outgoing.data)
 
+    def is_fresh_for(self, outgoing):
+        """Whether no second copy of an earlier response could answer a request.
+
+        A copy is recognized by the header that a response must repeat, so requests
+        with the same one, or without one, do not follow one another.
+        """
+        if not self.pool.is_guarded:
+            return True
+        return outgoing.echo is not None and outgoing.echo not in self.sent_echoes
+
     def may_be_kept(self, response):
         """Whether the connection may be reused for another request."""
         is_whole = not self.stream.unsent and not self.ignored_responses
+        if self.pool.is_guarded:
+            is_identified = None not in self.sent_echoes
+            has_room = len(self.sent_echoes) < MAX_IDENTIFIED_REQUESTS
+            is_whole = is_whole and is_identified and has_room
         return is_whole and response.keep_alive and not self.must_close
 
     def is_end_of_response(self, reason):
@@ -225,6 +245,9 @@
     ack_timeout_s : float
         Time without acknowledgements after which a connection is broken, in
         seconds; 0 keeps the system's default.
+    is_guarded : bool
+        Whether servers may repeat responses, so that a connection carries only
+        requests that their responses identify.
     bodies : BodyBudget, optional
         Memory for unfinished bodies, shared by the pools of a process.
     """
@@ -235,15 +258,23 @@
         "connect_timeout_s",
         "idle",
         "idle_timeout_s",
+        "is_guarded",
         "loop",
         "opened",
         "ack_timeout_s",
     )
 
     def __init__(
-        self, loop, idle_timeout_s, connect_timeout_s, ack_timeout_s, bodies=None
+        self,
+        loop,
+        idle_timeout_s,
+        connect_timeout_s,
+        ack_timeout_s,
+        is_guarded=False,
+        bodies=None,
     ):
         self.loop = loop
+        self.is_guarded = is_guarded
         self.bodies = bodies or BodyBudget()
         self.idle_timeout_s = idle_timeout_s
         self.connect_timeout_s = connect_timeout_s
@@ -264,7 +295,7 @@
         deadline : float
             Time after which the request has failed, in seconds.
         """
-        connection = self._take_idle(address)
+        connection = self._take_idle(address, outgoing)
         if connection is not None:
             connection.send(outgoing)
         else:
@@ -307,16 +338,17 @@
             for connection in list(connections):
                 connection.fire("cancelled")
 
-    def _take_idle(self, address):
+    def _take_idle(self, address, outgoing):
         kept = self.idle.get(address, [])
         now = self.loop.clock()
-        while kept:
-            connection = kept.pop()
+        for connection in reversed(kept.copy()):
             is_young = now - connection.idle_since < connection.idle_timeout_s
             # A close by the server may have arrived but not been handled yet.
-            if is_young and not connection.stream.has_input():
+            if not is_young or connection.stream.has_input():
+                connection.fire("cancelled")
+            elif connection.is_fresh_for(outgoing):
+                kept.remove(connection)
                 return connection
-            connection.fire("cancelled")
         return None
 
 
--- a/packages/cyclamentally-calls/cyclamentally_calls/tests/test_endless_responses.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/tests/test_endless_responses.py
@@ -56,7 +56,7 @@
 
 @pytest.fixture
 def bounded_pool(loop):
-    pool = ConnectionPool(loop, 5.0, 2.0, 0.0, BodyBudget())
+    pool = ConnectionPool(loop, 5.0, 2.0, 0.0, bodies=BodyBudget())
     yield pool
     pool.close()
 
