Keep an upstream that has left out of use after a restart of its node

Cause: a node that restarted between its upstream's departure and its exit learned the upstream from a liveness check, which names no start, and used it again. Change: the entry of a leaving upstream carries the start of its lifetime; the restarted node takes the departure over from its own entry (LastDeparture). Later lifetimes are used as before.

--- a/packages/cyclamentally-calls/cyclamentally_calls/call_events.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/call_events.py
@@ -233,3 +233,18 @@
     def __init__(self, request_id, is_running):
         self.request_id = request_id
         self.is_running = is_running
+
+
+class OwnEntryFound(Record):
+    """The store lists an entry of this host that an earlier process has written.
+
+    Parameters
+    ----------
+    upstream : UpstreamEntry
+        Its upstream.
+    """
+
+    __slots__ = ("upstream",)
+
+    def __init__(self, upstream):
+        self.upstream = upstream
--- a/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
@@ -19,6 +19,7 @@
     NewerVersionSeen,
     Offer,
     OfferWithdrawn,
+    OwnEntryFound,
     PeerStateReply,
     PeerStateRequest,
     RepeatedRunChanged,
@@ -36,12 +37,11 @@
 from cyclamentally_calls.outgoing_request import OutgoingRequest
 from cyclamentally_calls.pacer import Pacer
 from cyclamentally_calls.peer_codec import (
-    REFUSED_STATUS,
     TICKET_HEADER,
     decode_ticket,
     encode_refusal,
 )
-from cyclamentally_calls.peer_state import STATE_TARGET
+from cyclamentally_calls.peer_state import STATE_TARGET, state_response
 from cyclamentally_calls.requesters import LocalRequester, PeerRequester
 from cyclamentally_calls.server_connection import (
     RequestHandler,
@@ -75,7 +75,6 @@
 # Limits for requests from other nodes, whose heads carry a ticket in addition to the
 # caller's headers.
 PEER_LIMITS = CallerLimits(128 * 1024, 256 * 1024 * 1024, 5.0, 60.0)
-HTTP_OK = 200
 
 
 class GateTask(Task, RequestHandler):
@@ -136,7 +135,7 @@
         self.counters = counters
         self.log = log
         self.listener = Listener(loop, address, self._accept, log.listener_failed)
-        self.pool = ConnectionPool(loop, IDLE_TIMEOUT_S, CONNECT_TIMEOUT_S, 0.0)
+        self.pool = ConnectionPool(loop, IDLE_TIMEOUT_S, CONNECT_TIMEOUT_S, 0.0, True)
         self.pacer = Pacer(loop, gate.uplink)
         self.connections = set()
         self.works = {}
@@ -173,11 +172,12 @@
             self._withdraw(self.by_offer.pop(message.number, None))
         elif isinstance(message, UpstreamReported):
             self._handle_report(message.report)
+        elif isinstance(message, OwnEntryFound):
+            self._carry_out(self.gate.on_own_entry(message.upstream, self.loop.clock()))
         elif isinstance(message, RoutesReplaced):
             self._apply_routes(message.table)
         elif isinstance(message, PeerStateReply):
-            status = HTTP_OK if message.body else REFUSED_STATUS
-            message.exchange.respond(Response(status, [], message.body))
+            message.exchange.respond(state_response(message.body))
         elif isinstance(message, ServiceChanged):
             self.local_upstream.service = message.service
         elif isinstance(message, IdleQuery):
--- a/packages/cyclamentally-calls/cyclamentally_calls/peer_state.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/peer_state.py
@@ -9,7 +9,10 @@
 from cyclamentally.records import Record
 from cyclamentally.store_outcomes import StoredItem
 from cyclamentally_calls.entry_codec import decode_entry, encode_entry
+from cyclamentally_calls.http_codec import Response
+from cyclamentally_calls.peer_codec import REFUSED_STATUS
 
+HTTP_OK = 200
 STATE_TARGET = b"/cyclamentally-peer/state"
 
 
@@ -54,3 +57,8 @@
     except (DecodeError, Base64Error, KeyError, TypeError, ValueError):
         return None
     return PeerState(item, [pair for pair in hosts if pair[0] is not None])
+
+
+def state_response(body):
+    """Return the `Response` with an encoded state; 503 if this node has none."""
+    return Response(HTTP_OK if body else REFUSED_STATUS, [], body)
--- a/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
@@ -24,6 +24,7 @@
     HostFailed,
     HostsReplaced,
     NewerVersionSeen,
+    OwnEntryFound,
     PeerStateReply,
     PeerStateRequest,
     RoutesReplaced,
@@ -216,6 +217,8 @@
             entry = self._decode_host(item)
             if entry is not None:
                 listed.append((entry, item.revision))
+                if item.key == self.key and self.registration.written is None:
+                    self._notify(OwnEntryFound(entry.upstream))
         self.directory.replace(listed, self.loop.clock())
         if all(item.key != self.key for item in items):
             self._fire_registration("vanished")
--- a/packages/cyclamentally/cyclamentally/gate.py
+++ b/packages/cyclamentally/cyclamentally/gate.py
@@ -5,12 +5,12 @@
 """
 
 from cyclamentally.chart import runs_chart
+from cyclamentally.departures import LastDeparture
 from cyclamentally.effects import Count, StateChanged
 from cyclamentally.errors import Kind, Refused
 from cyclamentally.gate_messages import (
     Heartbeat,
     Load,
-    RecordedEnd,
     RefuseWork,
     Running,
     StartWork,
@@ -26,10 +26,6 @@
 # Lower bound of the wait that a refusal names. With a shorter one, callers would
 # retry before the load has changed.
 MIN_RETRY_WAIT_S = 0.02
-# A recorded end is kept for this time, as heartbeats may be delayed by seconds. After
-# it, a heartbeat under the name of the ended upstream belongs to a new lifetime, even
-# if this host's clock was ahead when the end was recorded.
-MAX_HEARTBEAT_DELAY_S = 10.0
 
 
 @runs_chart("gate")
@@ -44,8 +40,7 @@
     """
 
     __slots__ = (
-        "recorded_end",
-        "recorded_end_expires",
+        "departure",
         "has_routes",
         "last_heartbeat_at",
         "heartbeat",
@@ -62,8 +57,7 @@
         self.uplink = uplink or Uplink()
         self.state = self.chart.initial
         self.heartbeat = None
-        self.recorded_end = None
-        self.recorded_end_expires = 0.0
+        self.departure = LastDeparture()
         self.has_routes = False
         self.last_heartbeat_at = 0.0
         self.waiting = []
@@ -86,14 +80,8 @@
         return heartbeat.upstream != present.upstream
 
     def is_after_end(self, heartbeat):
-        """Whether a heartbeat is of another upstream or lifetime than a recorded end.
-
-        If not, it was sent before the end and has been delayed.
-        """
-        ended = self.recorded_end
-        if ended is None or ended.upstream != heartbeat.upstream:
-            return True
-        return heartbeat.started_ms > ended.reported_ms
+        """Whether a heartbeat is not of the upstream that has departed last."""
+        return self.departure.precedes(heartbeat)
 
     def is_same_lifetime(self, heartbeat):
         """Whether a heartbeat belongs to the current lifetime."""
@@ -133,8 +121,7 @@
 
     def on_heartbeat(self, heartbeat, now):
         """Handle a heartbeat; returns effects."""
-        if now >= self.recorded_end_expires:
-            self.recorded_end = None
+        self.departure.expire(now)
         event = "leaving" if heartbeat.is_leaving else "ready"
         known = self.heartbeat
         if known is None or not known.started_ms > heartbeat.started_ms:
@@ -156,13 +143,35 @@
         known = self.heartbeat
         if known is None:
             # Prevents a delayed heartbeat of this upstream from opening the gate.
-            self.recorded_end = RecordedEnd(upstream, reported_ms)
-            self.recorded_end_expires = now + MAX_HEARTBEAT_DELAY_S
+            self.departure.record_report(upstream, reported_ms, now)
             return []
         if known.upstream != upstream:
             return []
+        return self._close(now)
+
+    def on_own_entry(self, entry, now):
+        """Take over the departure that an earlier process of this node has published.
+
+        Parameters
+        ----------
+        entry : UpstreamEntry
+            Upstream in the listed entry of this host.
+        now : float
+            Time in seconds.
+        """
+        if not entry.started_ms:
+            return []
+        self.departure.record_lifetime(entry.name, entry.started_ms)
+        known = self.heartbeat
+        if known is None or self.is_after_end(known):
+            return []
+        return self._close(now)
+
+    def _close(self, now):
+        """Handle that the current upstream has left."""
+        known = self.heartbeat
         last = Heartbeat(
-            upstream,
+            known.upstream,
             known.service,
             known.address,
             known.started_ms,
@@ -278,7 +287,8 @@
             # The upstream's own calls for the request could not be routed.
             return Refused(Kind.NOT_READY, "node has not read a configuration yet")
         if present is None or self.state == "unknown":
-            kind = Kind.NOT_READY if self.recorded_end is None else Kind.UPSTREAM_LEFT
+            has_left = self.departure.upstream is not None
+            kind = Kind.UPSTREAM_LEFT if has_left else Kind.NOT_READY
             return Refused(kind, "no upstream is known on this host")
         if ticket.upstream != present.upstream or ticket.service != present.service:
             return Refused(Kind.UPSTREAM_LEFT, f"host runs {present.upstream} now")
--- a/packages/cyclamentally/cyclamentally/gate_messages.py
+++ b/packages/cyclamentally/cyclamentally/gate_messages.py
@@ -72,25 +72,6 @@
         self.upstream = upstream
 
 
-class RecordedEnd(Record):
-    """The end of an upstream that has sent no heartbeat to this node.
-
-    Parameters
-    ----------
-    upstream : str
-        Its identifier.
-    reported_ms : int
-        When it was reported, Unix milliseconds on this host; a lifetime of the
-        same name that started later is a new one.
-    """
-
-    __slots__ = ("upstream", "reported_ms")
-
-    def __init__(self, upstream, reported_ms):
-        self.upstream = upstream
-        self.reported_ms = reported_ms
-
-
 class Ticket(Record):
     """The gate's data on a request.
 
--- a/packages/cyclamentally/cyclamentally/hosts.py
+++ b/packages/cyclamentally/cyclamentally/hosts.py
@@ -21,15 +21,19 @@
         Requests that it runs concurrently.
     is_leaving : bool
         Whether it gets no new requests.
+    started_ms : int
+        Start of a lifetime that is leaving, Unix milliseconds; 0 otherwise. Tells a
+        restarted node which heartbeats are of a later lifetime.
     """
 
-    __slots__ = ("name", "service", "slots", "is_leaving")
+    __slots__ = ("name", "service", "slots", "is_leaving", "started_ms")
 
-    def __init__(self, name, service, slots, is_leaving):
+    def __init__(self, name, service, slots, is_leaving, started_ms=0):
         self.name = name
         self.service = service
         self.slots = slots
         self.is_leaving = is_leaving
+        self.started_ms = started_ms
 
 
 class HostEntry(Record):
--- a/packages/cyclamentally/cyclamentally/publication.py
+++ b/packages/cyclamentally/cyclamentally/publication.py
@@ -26,7 +26,11 @@
         if self.published is None and not is_open:
             return None
         entry = UpstreamEntry(
-            heartbeat.upstream, heartbeat.service, heartbeat.slots, not is_open
+            heartbeat.upstream,
+            heartbeat.service,
+            heartbeat.slots,
+            not is_open,
+            heartbeat.started_ms if gate.state == "draining" else 0,
         )
         if entry == self.published:
             return None
--- a/packages/cyclamentally/cyclamentally/tests/test_gate.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_gate.py
@@ -2,8 +2,9 @@
 
 import pytest
 
+from cyclamentally.departures import MAX_HEARTBEAT_DELAY_S
 from cyclamentally.errors import Kind
-from cyclamentally.gate import MAX_HEARTBEAT_DELAY_S, Gate
+from cyclamentally.gate import Gate
 from cyclamentally.gate_messages import (
     DEFAULT_SERVICE_TIME_S,
     Heartbeat,
