Do not repeat a run that failed because its calls lack retry budget

Change: the node tells the gate beside it which calls lacked budget; the gate marks the failure of their run as final, and the sender passes it on. WorkTable holds a gate's requests by number, sender and ID.

--- a/packages/cyclamentally-calls/cyclamentally_calls/call_events.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/call_events.py
@@ -235,6 +235,21 @@
         self.is_running = is_running
 
 
+class CallNotRetried(Record):
+    """A call has failed and was not retried for lack of retry budget.
+
+    Parameters
+    ----------
+    call_id : str
+        ID of the call.
+    """
+
+    __slots__ = ("call_id",)
+
+    def __init__(self, call_id):
+        self.call_id = call_id
+
+
 class OwnEntryFound(Record):
     """The store lists an entry of this host that an earlier process has written.
 
--- a/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
@@ -14,6 +14,7 @@
 from cyclamentally.publication import Publication
 from cyclamentally.routes import CallerLimits
 from cyclamentally_calls.call_events import (
+    CallNotRetried,
     IdleQuery,
     IdleReply,
     NewerVersionSeen,
@@ -40,6 +41,7 @@
     TICKET_HEADER,
     decode_ticket,
     encode_refusal,
+    mark_final,
 )
 from cyclamentally_calls.peer_state import STATE_TARGET, state_response
 from cyclamentally_calls.requesters import LocalRequester, PeerRequester
@@ -54,7 +56,7 @@
     encode_liveness,
     encode_upstream_request,
 )
-from cyclamentally_calls.work import Work
+from cyclamentally_calls.work import Work, WorkTable
 
 MS_PER_S = 1_000
 # Idle timeout of pooled connections if the upstream announces none; must be below
@@ -72,6 +74,7 @@
 # requests are queued, so that those that cannot be served are refused early.
 TICK_WITH_QUEUE_S = 0.05
 TICK_S = 0.25
+FIRST_SERVER_ERROR = 500
 # Limits for requests from other nodes, whose heads carry a ticket in addition to the
 # caller's headers.
 PEER_LIMITS = CallerLimits(128 * 1024, 256 * 1024 * 1024, 5.0, 60.0)
@@ -103,8 +106,6 @@
     """
 
     __slots__ = (
-        "by_exchange",
-        "by_offer",
         "connections",
         "counters",
         "gate",
@@ -138,9 +139,7 @@
         self.pool = ConnectionPool(loop, IDLE_TIMEOUT_S, CONNECT_TIMEOUT_S, 0.0, True)
         self.pacer = Pacer(loop, gate.uplink)
         self.connections = set()
-        self.works = {}
-        self.by_exchange = {}
-        self.by_offer = {}
+        self.works = WorkTable()
         self.number = 0
         self.publication = Publication()
         self.table = None
@@ -165,11 +164,11 @@
         """Handle a message from another task."""
         if isinstance(message, Offer):
             requester = LocalRequester(self.loop, message.sender, message.number)
-            work = self._admit(requester, message.ticket, message.request)
-            if work is not None:
-                self.by_offer[message.number] = work
+            self._admit(requester, message.ticket, message.request)
         elif isinstance(message, OfferWithdrawn):
-            self._withdraw(self.by_offer.pop(message.number, None))
+            self._withdraw(message.number)
+        elif isinstance(message, CallNotRetried):
+            self.works.note_call_not_retried(message.call_id)
         elif isinstance(message, UpstreamReported):
             self._handle_report(message.report)
         elif isinstance(message, OwnEntryFound):
@@ -203,13 +202,11 @@
         if ticket.version > (self.table.version if self.table else 0):
             self.loop.post(self.store, NewerVersionSeen(ticket.sender, ticket.version))
         requester = PeerRequester(exchange, self.names.request_id)
-        work = self._admit(requester, ticket, exchange.request)
-        if work is not None:
-            self.by_exchange[exchange] = work
+        self._admit(requester, ticket, exchange.request)
 
     def on_disconnect(self, exchange):
         """Cancel the request of a node that has closed its connection."""
-        self._withdraw(self.by_exchange.pop(exchange, None))
+        self._withdraw(exchange)
 
     def on_closed(self, connection):
         """Remove a closed connection."""
@@ -245,14 +242,15 @@
             now + peer_ticket.left_s,
             isinstance(requester, PeerRequester),
         )
-        work = Work(requester, request, ticket, peer_ticket.is_repeat)
-        self.works[ticket.number] = work
+        request_id = request_id_of(request, self.names)
+        work = Work(requester, request, request_id, ticket, peer_ticket.is_repeat)
+        self.works.add(work)
         self._carry_out(self.gate.admit(ticket, now))
-        return work if ticket.number in self.works else None
 
-    def _withdraw(self, work):
+    def _withdraw(self, source):
         """Cancel a request, whether it is queued or in flight to the upstream."""
-        if work is None or work.ticket.number not in self.works:
+        work = self.works.by_source.get(source)
+        if work is None:
             return
         self._remove(work)
         self.gate.cancel(work.ticket.number)
@@ -323,13 +321,14 @@
                 self.log.write("state", subject=effect.subject, state=effect.state)
 
     def _refuse_work(self, effect):
-        work = self.works.get(effect.number)
+        work = self.works.by_number.get(effect.number)
         if work is not None:
             self.counters.add("gate_refusals_total", effect.refusal.kind)
             self._resolve(work, effect.refusal)
 
     def _start_work(self, effect):
-        work = self.works[effect.number]
+        work = self.works.by_number[effect.number]
+        self.works.start(work)
         left_s = work.ticket.expires - self.loop.clock()
         heartbeat, names, request = effect.heartbeat, self.names, work.request
         limit = max_body_bytes(find_rule(self.table, request))
@@ -353,7 +352,7 @@
             self.counters.add("upstream_failures_total", outcome.kind)
             self.log.write(
                 "upstream_failure",
-                id=request_id_of(work.request, self.names),
+                id=work.request_id,
                 upstream=work.ticket.upstream,
                 kind=outcome.kind,
                 detail=outcome.detail,
@@ -362,6 +361,8 @@
         if is_answered:
             size = len(outcome.value.body)
             self.gate.uplink.update_size(work.ticket.route, size)
+            if work.call_lacked_budget and outcome.value.status >= FIRST_SERVER_ERROR:
+                outcome = Done(mark_final(outcome.value))
         now = self.loop.clock()
         is_shed = getattr(outcome, "kind", None) == Kind.UPSTREAM_OVERLOADED
         effects = self.gate.finish(work.ticket.number, is_answered, now, is_shed)
@@ -377,17 +378,13 @@
         work.requester.resolve(outcome, self.gate.load(work.ticket.route))
 
     def _report_repeat(self, work, is_running):
-        request_id = request_id_of(work.request, self.names)
-        self.loop.post(self.outbound, RepeatedRunChanged(request_id, is_running))
+        message = RepeatedRunChanged(work.request_id, is_running)
+        self.loop.post(self.outbound, message)
 
     def _remove(self, work):
-        self.works.pop(work.ticket.number, None)
+        self.works.remove(work)
         if work.is_repeat:
             self._report_repeat(work, is_running=False)
-        if isinstance(work.requester, PeerRequester):
-            self.by_exchange.pop(work.requester.exchange, None)
-        else:
-            self.by_offer.pop(work.requester.number, None)
 
     def _tick(self):
         now = self.loop.clock()
--- a/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
@@ -10,6 +10,7 @@
 from cyclamentally.repeated_runs import RepeatedRuns
 from cyclamentally.routes import DEFAULT_LIMITS
 from cyclamentally_calls.call_events import (
+    CallNotRetried,
     DrainConnections,
     HostFailed,
     HostsReplaced,
@@ -47,7 +48,7 @@
 )
 from cyclamentally_calls.outcomes import Answered
 from cyclamentally_calls.outgoing_request import OutgoingRequest
-from cyclamentally_calls.peer_codec import PEER_HEADERS
+from cyclamentally_calls.peer_codec import PEER_HEADERS, is_final
 from cyclamentally_calls.server_connection import RequestHandler, ServerConnection
 from cyclamentally_calls.stream import Listener
 
@@ -314,7 +315,8 @@
             response = outcome.value
             is_failure = response.status >= FIRST_SERVER_ERROR
             event = "failure_answer" if is_failure else "answer"
-            effects = forwarding.fire(event, OfferResult(response, None, now, nodes))
+            result = OfferResult(response, None, now, nodes, is_final(response))
+            effects = forwarding.fire(event, result)
         else:
             pause_for_refusal(view, outcome, now)
             effects = forwarding.fail(OfferResult(None, outcome, now, nodes))
@@ -359,10 +361,8 @@
         self._remove(call)
         count_response(self.counters, call, response.status, self.loop.clock())
         self.log.success("answered", status=response.status, **self._log_fields(call))
-        length = response.length
-        call.exchange.respond(
-            Response(response.status, headers, response.body, length=length)
-        )
+        body, length = response.body, response.length
+        call.exchange.respond(Response(response.status, headers, body, length=length))
 
     def _refuse(self, exchange, refusal):
         self.log.write(
@@ -391,6 +391,9 @@
             self.loop.post(self.gate, OfferWithdrawn(forwarding.number))
 
     def _remove(self, call):
+        if call.forwarding.lacked_budget:
+            call_id = request_id_of(call.exchange.request, self.names)
+            self.loop.post(self.gate, CallNotRetried(call_id))
         call.timer.cancel()
         self.calls.pop(call.forwarding.number, None)
         self.by_exchange.pop(call.exchange, None)
--- a/packages/cyclamentally-calls/cyclamentally_calls/peer_codec.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/peer_codec.py
@@ -5,12 +5,16 @@
 
 from cyclamentally.errors import Kind, Refused
 from cyclamentally.gate_messages import Load
+from cyclamentally_calls.http_codec import Response
 
 TICKET_HEADER = b"Cyclamentally-Ticket"
 REFUSED_HEADER = b"Cyclamentally-Refused"
 LOAD_HEADER = b"Cyclamentally-Load"
+# Marks a failure that repeating the run cannot cure: a call of the run was not
+# retried for lack of retry budget.
+FINAL_HEADER = b"Cyclamentally-Final"
 PEER_HEADERS = frozenset(
-    name.lower() for name in (TICKET_HEADER, REFUSED_HEADER, LOAD_HEADER)
+    name.lower() for name in (TICKET_HEADER, REFUSED_HEADER, LOAD_HEADER, FINAL_HEADER)
 )
 REFUSED_STATUS = 503
 MS_PER_S = 1_000
@@ -140,6 +144,17 @@
         return Refused(Kind.UPSTREAM_FAILED, "invalid refusal header from the gate")
 
 
+def mark_final(response):
+    """Return a copy of a `Response` that is marked as a final failure."""
+    headers = [*response.headers, (FINAL_HEADER, b"1")]
+    return Response(response.status, headers, response.body, length=response.length)
+
+
+def is_final(response):
+    """Whether a `Response` is marked as a final failure."""
+    return bool(response.find(FINAL_HEADER.lower()))
+
+
 def encode_load(load):
     """Return the header that carries a `Load`."""
     service_ms = int(load.service_time_s * MS_PER_S)
--- a/packages/cyclamentally-calls/cyclamentally_calls/requesters.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/requesters.py
@@ -17,6 +17,11 @@
 
     __slots__ = ()
 
+    @property
+    @abstractmethod
+    def source(self):
+        """Identifies the request at its sender; hashable."""
+
     @abstractmethod
     def resolve(self, outcome, load):
         """Report ``Done`` or ``Refused``, with the `Load` after the request."""
@@ -32,6 +37,11 @@
         self.sender = sender
         self.number = number
 
+    @property
+    def source(self):
+        """Number of the offer."""
+        return self.number
+
     def resolve(self, outcome, load):
         """Send `OfferDone`."""
         self.loop.post(self.sender, OfferDone(self.number, outcome, load))
@@ -46,6 +56,11 @@
         self.exchange = exchange
         self.id_name = id_name
 
+    @property
+    def source(self):
+        """The exchange of the request."""
+        return self.exchange
+
     def resolve(self, outcome, load):
         """Respond to the other node's request."""
         if isinstance(outcome, Done):
--- a/packages/cyclamentally-calls/cyclamentally_calls/work.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/work.py
@@ -1,4 +1,6 @@
-"""A request at the gate, and the upstream that the gate protects."""
+"""Requests at the gate, and the upstream that the gate protects."""
+
+from cyclamentally.repeated_runs import find_run
 
 
 class LocalUpstream:
@@ -31,17 +33,65 @@
         Receiver of the outcome.
     request : Request
         The request for the upstream.
+    request_id : str
+        ID of the request.
     ticket : Ticket
         The gate's data on the request.
     is_repeat : bool
         Whether its run repeats an earlier one.
     """
 
-    __slots__ = ("is_repeat", "outgoing", "request", "requester", "ticket")
+    __slots__ = (
+        "call_lacked_budget",
+        "is_repeat",
+        "outgoing",
+        "request",
+        "request_id",
+        "requester",
+        "ticket",
+    )
 
-    def __init__(self, requester, request, ticket, is_repeat):
+    def __init__(self, requester, request, request_id, ticket, is_repeat):
+        self.call_lacked_budget = False
         self.is_repeat = is_repeat
+        self.request_id = request_id
         self.requester = requester
         self.request = request
         self.ticket = ticket
         self.outgoing = None
+
+
+class WorkTable:
+    """The requests at a gate: by number, by sender and, while they run, by ID."""
+
+    __slots__ = ("by_number", "by_source", "running")
+
+    def __init__(self):
+        self.by_number = {}
+        self.by_source = {}
+        self.running = {}
+
+    def __len__(self):
+        return len(self.by_number)
+
+    def add(self, work):
+        """Add a request that has arrived."""
+        self.by_number[work.ticket.number] = work
+        self.by_source[work.requester.source] = work
+
+    def start(self, work):
+        """Note that a request is handed to the upstream."""
+        self.running[work.request_id] = work
+
+    def remove(self, work):
+        """Remove a request that has its outcome, or was cancelled."""
+        self.by_number.pop(work.ticket.number, None)
+        self.by_source.pop(work.requester.source, None)
+        if self.running.get(work.request_id) is work:
+            del self.running[work.request_id]
+
+    def note_call_not_retried(self, call_id):
+        """Note that a call of a running request lacked retry budget."""
+        run_id = find_run(call_id, self.running)
+        if run_id is not None:
+            self.running[run_id].call_lacked_budget = True
--- a/packages/cyclamentally/cyclamentally/forwarding.py
+++ b/packages/cyclamentally/cyclamentally/forwarding.py
@@ -28,15 +28,19 @@
         Time in seconds.
     nodes : int
         Nodes that share the retry budget.
+    is_final : bool
+        Whether the answer is a failure because a call of the run was not retried
+        for lack of retry budget.
     """
 
-    __slots__ = ("answer", "refusal", "now", "nodes")
+    __slots__ = ("answer", "refusal", "now", "nodes", "is_final")
 
-    def __init__(self, answer, refusal, now, nodes):
+    def __init__(self, answer, refusal, now, nodes, is_final=False):
         self.answer = answer
         self.refusal = refusal
         self.now = now
         self.nodes = nodes
+        self.is_final = is_final
 
 
 @runs_chart("call")
@@ -66,6 +70,7 @@
         "expires",
         "arrived",
         "is_call_of_repeat",
+        "lacked_budget",
         "losses",
         "number",
         "offers",
@@ -100,6 +105,8 @@
         self.attempts = 0
         self.offers = 0
         self.losses = 0
+        # Whether it was not retried because a retry budget was spent.
+        self.lacked_budget = False
         self.refusal = None
         self.tried = set()
         self.view = None
@@ -132,17 +139,24 @@
         if result.refusal.kind not in REFUSED_BY_UPSTREAM:
             return True
         has_attempts = self.attempts + 1 < self.rule.max_attempts
-        return has_attempts and self.budget.take(result.now, result.nodes)
+        return has_attempts and self._take_retry(result)
 
     def may_repeat(self, result):
-        """Whether a request that may have run may be retried."""
+        """Whether a request that may have run may be retried.
+
+        A run that failed because the retry budget of its calls is spent is not
+        repeated: the repeat would make all of the calls once more.
+        """
+        if result.is_final:
+            self.lacked_budget = True
+            return False
         if not self.rule.kind.may_repeat or self._is_late(result.now):
             return False
         if self.offers >= MAX_OFFERS or self.attempts + 1 >= self.rule.max_attempts:
             return False
         if self.losses + 1 >= MAX_LOSSES:
             return False
-        return self.budget.take(result.now, result.nodes)
+        return self._take_retry(result)
 
     def note_offer(self, view):
         """Record the upstream that the request is offered to."""
@@ -182,6 +196,11 @@
         """Return the `Refused` for the caller, with the shortest wait of all."""
         return Refused(self.refusal.kind, self.refusal.detail, self.wait)
 
+    def _take_retry(self, result):
+        is_allowed = self.budget.take(result.now, result.nodes)
+        self.lacked_budget = not is_allowed
+        return is_allowed
+
     def _is_late(self, now):
         return now + MIN_OFFER_TIME_S >= self.expires
 
--- a/packages/cyclamentally/cyclamentally/repeated_runs.py
+++ b/packages/cyclamentally/cyclamentally/repeated_runs.py
@@ -4,6 +4,25 @@
 ID_SEPARATOR = "."
 
 
+def find_run(call_id, running):
+    """Return the ID of the innermost running request that has made a call, or None.
+
+    Parameters
+    ----------
+    call_id : str
+        ID of the call: the ID of the request whose run made it, a separator and
+        a suffix. An ID of another form belongs to no run.
+    running : container of str
+        IDs of running requests.
+    """
+    end = call_id.rfind(ID_SEPARATOR)
+    while end > 0:
+        if call_id[:end] in running:
+            return call_id[:end]
+        end = call_id.rfind(ID_SEPARATOR, 0, end)
+    return None
+
+
 class RepeatedRuns:
     """IDs of the repeated requests that the upstream of this host runs.
 
@@ -24,17 +43,5 @@
             self.running.discard(request_id)
 
     def has_made(self, call_id):
-        """Whether a repeated run, or a call of one, has made a call.
-
-        Parameters
-        ----------
-        call_id : str
-            ID of the call: the ID of the request whose run made it, a separator and
-            a suffix. An ID of another form belongs to no run.
-        """
-        end = call_id.rfind(ID_SEPARATOR)
-        while end > 0:
-            if call_id[:end] in self.running:
-                return True
-            end = call_id.rfind(ID_SEPARATOR, 0, end)
-        return False
+        """Whether a repeated run, or a call of one, has made a call."""
+        return find_run(call_id, self.running) is not None
--- a/packages/cyclamentally/cyclamentally/tests/test_forwarding.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_forwarding.py
@@ -139,3 +139,22 @@
         refusal = forwarding.final_refusal()
         if may_have_run:
             assert ANSWERS[refusal.kind].ran == Ran.UNKNOWN
+
+
+def test_final_failure_answer_is_returned_without_a_retry(start, budget):
+    """Its run would make the calls again that lack the retry budget."""
+    forwarding = start()
+    result = OfferResult("error 500", None, 0.1, NODES, is_final=True)
+    forwarding.fire("failure_answer", result)
+    assert forwarding.state == "answered"
+    assert forwarding.lacked_budget
+    assert not budget.repeats
+
+
+def test_request_without_retry_budget_is_marked(start, budget):
+    for _ in range(100):
+        budget.note_repeat(0.0)
+    forwarding = start()
+    forwarding.fail(failed(Kind.UPSTREAM_OVERLOADED))
+    assert forwarding.state == "refused"
+    assert forwarding.lacked_budget
--- a/packages/cyclamentally/cyclamentally/tests/test_shedding_under_load.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_shedding_under_load.py
@@ -27,7 +27,6 @@
 DURATION_S = 12.0
 SHED_CHANCE = 0.45
 WORK_S = {"front": 0.2, "back": 0.05}
-CALLS_PER_RUN = 2
 HOP_S = 0.005
 
 
@@ -55,19 +54,21 @@
 class Run:
     """A run at an upstream of the front service, which waits for its calls."""
 
-    def __init__(self, request, host):
+    def __init__(self, request, host, calls):
         self.request = request
         self.host = host
         self.is_repeat = request.is_repeat()
-        self.open_calls = CALLS_PER_RUN
+        self.open_calls = calls
         self.has_failed = False
+        self.call_lacked_budget = False
 
 
 class Fleet:
     """24 hosts; half run each service; some upstreams of the back service shed."""
 
-    def __init__(self, seed, shedding):
+    def __init__(self, seed, shedding, calls_per_run=2):
         self.random = Random(seed)
+        self.calls_per_run = calls_per_run
         self.numbers = count(1)
         self.events = []
         self.entries = {"front": [], "back": []}
@@ -136,14 +137,14 @@
         if request.service == "back":
             self.at(now + work, self.reply, request, host, "good", now + work)
             return
-        run = Run(request, host)
+        run = Run(request, host, self.calls_per_run)
         if forwarding.is_repeat:
             self.repeated[host].update(request.request_id, True)
-        for _ in range(CALLS_PER_RUN):
+        for _ in range(self.calls_per_run):
             call_id = f"{request.request_id}.{next(self.numbers)}"
             self.at(now + work, self.start, host, "back", call_id, run, now + work)
 
-    def reply(self, request, host, outcome, now):
+    def reply(self, request, host, outcome, now, is_final=False):
         forwarding = request.forwarding
         view = forwarding.view
         view.in_flight -= 1
@@ -152,8 +153,8 @@
         if outcome == "good":
             forwarding.fire("answer", OfferResult("200", None, now, HOSTS))
         elif outcome == "bad":
-            event = OfferResult("500", None, now, HOSTS)
-            forwarding.fire("failure_answer", event)
+            result = OfferResult("500", None, now, HOSTS, is_final)
+            forwarding.fire("failure_answer", result)
         else:
             refusal = Refused(Kind.UPSTREAM_OVERLOADED, "shed")
             pause_for_refusal(view, refusal, now)
@@ -170,11 +171,13 @@
             return
         self.back_calls["answered" if is_served else "refused"] += 1
         run.has_failed |= not is_served
+        run.call_lacked_budget |= request.forwarding.lacked_budget
         run.open_calls -= 1
         if run.open_calls == 0:
             self.repeated[run.host].update(run.request.request_id, False)
             outcome = "bad" if run.has_failed else "good"
-            self.reply(run.request, run.host, outcome, now)
+            is_final = run.has_failed and run.call_lacked_budget
+            self.reply(run.request, run.host, outcome, now, is_final)
 
     def excess(self, service):
         """Return the largest excess of repeats over the rule in any window."""
@@ -190,8 +193,8 @@
 
 @pytest.fixture(params=[1, 2, 3])
 def play(request):
-    def make(shedding):
-        fleet = Fleet(request.param, shedding)
+    def make(shedding, calls_per_run=2):
+        fleet = Fleet(request.param, shedding, calls_per_run)
         fleet.play()
         return fleet
 
@@ -199,8 +202,18 @@
 
 
 @pytest.mark.parametrize("service", ["front", "back"])
-def test_repeats_keep_to_the_rule_while_all_upstreams_of_a_service_shed(play, service):
-    assert play(shedding=12).excess(service) <= 0
+@pytest.mark.parametrize("calls_per_run", [1, 2, 4])
+def test_repeats_keep_to_the_rule_while_all_upstreams_of_a_service_shed(
+    play, service, calls_per_run
+):
+    """A repeated run makes all its calls again, which no retry budget can prevent."""
+    assert play(12, calls_per_run).excess(service) <= 0
+
+
+def test_retries_go_to_calls_rather_than_to_the_runs_that_made_them(play):
+    """A repeated run costs as many repeats as it makes calls; a call costs one."""
+    fleet = play(12)
+    assert fleet.outcomes["served"] >= 0.38 * sum(fleet.outcomes.values())
 
 
 def test_one_upstream_that_sheds_is_avoided_by_all_senders(play):
