Pass the store's items on within failure domains instead of watching from every node

Change: two or more relays of a failure domain, ranked by rendezvous hashing over the known hosts, watch the store; the others long-poll a relay (chart 'feed', FeedLog, FeedTask) and get changes or a listing, compressed. A follower goes back to the store when its relay does not answer within 1.2 s, says that it is no source, or lags behind a version that other nodes use. Relays renew their lease every 0.75 s, which shows them a cut. Domains under 8 hosts keep watching. Registration, timers and feed moved out of StoreTask into classes. Nodes of one domain over sockets: frozen, killed, cut-off relays, outage of the store: configuration in force within 3 s (test_relays).

--- a/packages/cyclamentally-calls/cyclamentally_calls/call_events.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/call_events.py
@@ -144,9 +144,9 @@
     Parameters
     ----------
     sender : Task
-        Receiver of `PeerStateReply`.
+        Receiver of `PeerReply`.
     exchange : Exchange
-        The other node's request, returned in `PeerStateReply`.
+        The other node's request, returned in `PeerReply`.
     """
 
     __slots__ = ("sender", "exchange")
@@ -156,8 +156,8 @@
         self.exchange = exchange
 
 
-class PeerStateReply(Record):
-    """Reply to `PeerStateRequest`; the body is empty if there is no configuration."""
+class PeerReply(Record):
+    """Reply to another node's request; without a body, the request is refused."""
 
     __slots__ = ("exchange", "body")
 
@@ -263,3 +263,75 @@
 
     def __init__(self, upstream):
         self.upstream = upstream
+
+
+class FeedRequest(Record):
+    """Another node has requested the changes of the store's items.
+
+    Parameters
+    ----------
+    sender : Task
+        Receiver of `PeerReply`.
+    exchange : Exchange
+        The other node's request, returned in `PeerReply`.
+    """
+
+    __slots__ = ("sender", "exchange")
+
+    def __init__(self, sender, exchange):
+        self.sender = sender
+        self.exchange = exchange
+
+
+class ItemsChanged(Record):
+    """Items of the store have been listed or have changed, as a `FeedUpdate`."""
+
+    __slots__ = ("update",)
+
+    def __init__(self, update):
+        self.update = update
+
+
+class ItemsRelayed(Record):
+    """A relay has reported items of the store, as a `FeedUpdate`."""
+
+    __slots__ = ("update",)
+
+    def __init__(self, update):
+        self.update = update
+
+
+class RelayAnswered(Record):
+    """The items in the last answer of the relay have been applied."""
+
+    __slots__ = ()
+
+
+class RelayRoleChanged(Record):
+    """The node has become a relay, or is none any more."""
+
+    __slots__ = ("is_relay",)
+
+    def __init__(self, is_relay):
+        self.is_relay = is_relay
+
+
+class SourceChanged(Record):
+    """Whether this node's own watches on the store report all changes."""
+
+    __slots__ = ("is_source",)
+
+    def __init__(self, is_source):
+        self.is_source = is_source
+
+
+class StoreLeft(Record):
+    """A relay is followed from now on; the watches on the store end."""
+
+    __slots__ = ()
+
+
+class StoreResumed(Record):
+    """No relay is followed any more; the watches on the store resume."""
+
+    __slots__ = ()
--- a/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
@@ -15,13 +15,14 @@
 from cyclamentally.routes import CallerLimits
 from cyclamentally_calls.call_events import (
     CallNotRetried,
+    FeedRequest,
     IdleQuery,
     IdleReply,
     NewerVersionSeen,
     Offer,
     OfferWithdrawn,
     OwnEntryFound,
-    PeerStateReply,
+    PeerReply,
     PeerStateRequest,
     RepeatedRunChanged,
     RoutesReplaced,
@@ -33,6 +34,7 @@
 from cyclamentally_calls.caller_codec import find_rule
 from cyclamentally_calls.calls import echo_of, request_id_of
 from cyclamentally_calls.client_connection import ConnectionPool
+from cyclamentally_calls.feed_codec import FEED_TARGET
 from cyclamentally_calls.http_codec import Response
 from cyclamentally_calls.loop import Task
 from cyclamentally_calls.outgoing_request import OutgoingRequest
@@ -41,7 +43,6 @@
     TICKET_HEADER,
     decode_ticket,
     encode_refusal,
-    mark_final,
 )
 from cyclamentally_calls.peer_state import STATE_TARGET, state_response
 from cyclamentally_calls.requesters import LocalRequester, PeerRequester
@@ -74,7 +75,6 @@
 # requests are queued, so that those that cannot be served are refused early.
 TICK_WITH_QUEUE_S = 0.05
 TICK_S = 0.25
-FIRST_SERVER_ERROR = 500
 # Limits for requests from other nodes, whose heads carry a ticket in addition to the
 # caller's headers.
 PEER_LIMITS = CallerLimits(128 * 1024, 256 * 1024 * 1024, 5.0, 60.0)
@@ -108,6 +108,7 @@
     __slots__ = (
         "connections",
         "counters",
+        "feed",
         "gate",
         "listener",
         "log",
@@ -143,6 +144,7 @@
         self.number = 0
         self.publication = Publication()
         self.table = None
+        self.feed = None
         self.outbound = None
         self.timer = None
 
@@ -175,7 +177,7 @@
             self._carry_out(self.gate.on_own_entry(message.upstream, self.loop.clock()))
         elif isinstance(message, RoutesReplaced):
             self._apply_routes(message.table)
-        elif isinstance(message, PeerStateReply):
+        elif isinstance(message, PeerReply):
             message.exchange.respond(state_response(message.body))
         elif isinstance(message, ServiceChanged):
             self.local_upstream.service = message.service
@@ -192,6 +194,9 @@
         if exchange.request.target == STATE_TARGET:
             self.loop.post(self.store, PeerStateRequest(self, exchange))
             return
+        if exchange.request.target.startswith(FEED_TARGET):
+            self.loop.post(self.feed, FeedRequest(self, exchange))
+            return
         ticket = decode_ticket(exchange.request.find(TICKET_HEADER.lower()))
         if ticket is None:
             refusal = Refused(
@@ -361,8 +366,7 @@
         if is_answered:
             size = len(outcome.value.body)
             self.gate.uplink.update_size(work.ticket.route, size)
-            if work.call_lacked_budget and outcome.value.status >= FIRST_SERVER_ERROR:
-                outcome = Done(mark_final(outcome.value))
+            outcome = work.mark_if_final(outcome)
         now = self.loop.clock()
         is_shed = getattr(outcome, "kind", None) == Kind.UPSTREAM_OVERLOADED
         effects = self.gate.finish(work.ticket.number, is_answered, now, is_shed)
@@ -378,8 +382,7 @@
         work.requester.resolve(outcome, self.gate.load(work.ticket.route))
 
     def _report_repeat(self, work, is_running):
-        message = RepeatedRunChanged(work.request_id, is_running)
-        self.loop.post(self.outbound, message)
+        self.loop.post(self.outbound, RepeatedRunChanged(work.request_id, is_running))
 
     def _remove(self, work):
         self.works.remove(work)
--- a/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
@@ -1,6 +1,7 @@
 """A node of the mesh: all its tasks on one event loop."""
 
 from cyclamentally.body_budget import BodyBudget
+from cyclamentally.feeds import Feed
 from cyclamentally.gate import Gate
 from cyclamentally.placing import NearestWithCapacity, UpstreamViews
 from cyclamentally.routes import WeightedRoundRobin
@@ -9,6 +10,7 @@
 from cyclamentally_calls.control_task import ControlTask
 from cyclamentally_calls.counters import Counters
 from cyclamentally_calls.decision_log import DecisionLog
+from cyclamentally_calls.feed_task import FeedTask
 from cyclamentally_calls.gate_task import GateTask
 from cyclamentally_calls.loop import Loop
 from cyclamentally_calls.outbound_task import OutboundTask
@@ -135,6 +137,7 @@
     __slots__ = (
         "control",
         "counters",
+        "feed",
         "gate",
         "log",
         "loop",
@@ -152,6 +155,7 @@
         self.store = self._make_store(dialects, random)
         self.gate = self._make_gate(dialects)
         self.outbound = self._make_outbound(dialects, random)
+        self.feed = self._make_feed()
         self.control = ControlTask(
             self.loop,
             settings.control,
@@ -164,14 +168,21 @@
         self.process = ProcessTask(
             self.loop, shutdown, read_service, settings.service, self.log
         )
-        self.store.subscribers = [self.outbound, self.gate, self.control]
+        self.store.subscribers = [self.outbound, self.gate, self.control, self.feed]
         self.process.request_tasks = [self.outbound, self.gate]
-        self.process.subscribers = [self.control, self.gate, self.store]
+        self.process.subscribers = [self.control, self.gate, self.store, self.feed]
 
     @property
     def tasks(self):
         """All tasks, in start order."""
-        return (self.store, self.gate, self.outbound, self.control, self.process)
+        return (
+            self.store,
+            self.feed,
+            self.gate,
+            self.outbound,
+            self.control,
+            self.process,
+        )
 
     def start(self, catches_signals=True):
         """Start all tasks.
@@ -219,6 +230,20 @@
             self.log,
         )
 
+    def _make_feed(self):
+        place = self.settings.place
+        feed = FeedTask(
+            self.loop,
+            Feed(place.name, place.domain, self.loop.clock()),
+            self.store.prefixes,
+            self.store,
+            self.counters,
+            self.log,
+        )
+        self.store.feed = feed
+        self.gate.feed = feed
+        return feed
+
     def _make_gate(self, dialects):
         settings = self.settings
         return GateTask(
--- a/packages/cyclamentally-calls/cyclamentally_calls/store_sinks.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_sinks.py
@@ -2,10 +2,11 @@
 
 from cyclamentally.store_outcomes import StoredItem
 from cyclamentally.watching import WatchSink
+from cyclamentally_calls.call_events import ItemsChanged
 
 
 class TaskSink(WatchSink):
-    """Passes listings and changes of a watch to the store task.
+    """Passes listings and changes of a watch to the store task and the feed task.
 
     Parameters
     ----------
@@ -18,20 +19,21 @@
     def __init__(self, task):
         self.task = task
 
+    def on_update(self, update):
+        """Apply an update, and report it to the nodes that follow this one."""
+        self.apply(update)
+        if self.task.feed is not None:
+            self.task.loop.post(self.task.feed, ItemsChanged(update))
+
 
 class RouteSink(TaskSink):
     """Receives configurations."""
 
     __slots__ = ()
 
-    def on_listing(self, items):
-        """Apply the stored configuration, if there is one."""
-        for item in items:
-            self.task.apply_configuration(item)
-
-    def on_changes(self, changes):
-        """Apply changed configurations."""
-        for change in changes:
+    def apply(self, update):
+        """Apply the stored configurations, if there are any."""
+        for change in update.changes:
             if isinstance(change, StoredItem):
                 self.task.apply_configuration(change)
 
@@ -41,10 +43,9 @@
 
     __slots__ = ()
 
-    def on_listing(self, items):
-        """Replace all entries."""
-        self.task.replace_hosts(items)
-
-    def on_changes(self, changes):
-        """Apply changed and removed entries."""
-        self.task.apply_host_changes(changes)
+    def apply(self, update):
+        """Apply host entries."""
+        if update.is_listing:
+            self.task.replace_hosts(update)
+        else:
+            self.task.apply_host_changes(update.changes)
--- a/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
@@ -5,33 +5,28 @@
 from cyclamentally.effects import StartTimer
 from cyclamentally.errors import Refused
 from cyclamentally.hosts import HostDirectory, HostEntry
-from cyclamentally.registration import (
-    KeepLease,
-    Registration,
-    RemoveEntry,
-    RequestLease,
-    WriteEntry,
-)
 from cyclamentally.store_health import PeerFallback
-from cyclamentally.store_outcomes import (
-    REGISTRATION_EVENTS,
-    WATCH_EVENTS,
-    Page,
-    StoredItem,
-)
+from cyclamentally.store_outcomes import WATCH_EVENTS, Page, StoredItem
 from cyclamentally.watching import AwaitChanges, ReadPage, Watch
 from cyclamentally_calls.call_events import (
     HostFailed,
     HostsReplaced,
+    ItemsRelayed,
     NewerVersionSeen,
     OwnEntryFound,
-    PeerStateReply,
+    PeerReply,
     PeerStateRequest,
+    RelayRoleChanged,
     RoutesReplaced,
     ShutdownStarted,
+    SourceChanged,
+    StoreLeft,
+    StoreResumed,
     UpstreamChanged,
 )
-from cyclamentally_calls.entry_codec import decode_entry, encode_entry
+from cyclamentally_calls.entry_codec import decode_entry
+from cyclamentally_calls.event_timers import EventTimers
+from cyclamentally_calls.host_registration import HostRegistration
 from cyclamentally_calls.http_codec import encode_request
 from cyclamentally_calls.loop import Task
 from cyclamentally_calls.outcomes import Answered
@@ -93,6 +88,8 @@
         "dialect",
         "directory",
         "client",
+        "feed",
+        "is_source",
         "subscribers",
         "log",
         "loop",
@@ -101,7 +98,7 @@
         "registration",
         "table",
         "timer",
-        "event_timers",
+        "timers",
         "watches",
         "watch_calls",
     )
@@ -126,7 +123,13 @@
         self.counters = counters
         self.log = log
         self.client = StoreClient(loop, address, counters, log, self._resync)
-        self.registration = Registration(random)
+        self.timers = EventTimers(loop)
+        key = HOSTS_PREFIX + place.name
+        self.registration = HostRegistration(
+            self.client, dialect, key, self.timers, random
+        )
+        self.feed = None
+        self.is_source = False
         self.directory = HostDirectory()
         self.table = None
         self.configuration = None
@@ -151,15 +154,13 @@
         }
         # The call in flight of each watch, by the watch's prefix.
         self.watch_calls = {}
-        # Pending timers by owner and event; a new timer replaces the pending one.
-        self.event_timers = {}
         self.subscribers = []
         self.timer = None
 
     @property
-    def key(self):
-        """Key of this host's entry in the store."""
-        return HOSTS_PREFIX + self.place.name
+    def prefixes(self):
+        """Prefixes that are watched; the first holds the configuration."""
+        return [watch.prefix for watch in self.watches.values()]
 
     def start(self):
         """Start to list and watch configuration and hosts."""
@@ -177,17 +178,27 @@
         if isinstance(message, UpstreamChanged):
             p = self.place
             entry = HostEntry(p.name, p.domain, p.region, p.address, message.upstream)
-            self._fire_registration("wanted", entry)
+            self.registration.fire("wanted", entry)
         elif isinstance(message, HostFailed):
             if self.directory.fail(message.name):
                 self._notify_hosts()
         elif isinstance(message, NewerVersionSeen):
             self._request_peer_state(message)
+            self.loop.post(self.feed, message)
+        elif isinstance(message, ItemsRelayed):
+            self._apply_relayed(message.update)
+        elif isinstance(message, StoreLeft):
+            self._leave_store()
+        elif isinstance(message, StoreResumed):
+            for watch in self.watches.values():
+                self._fire_watch(watch, "resume")
+        elif isinstance(message, RelayRoleChanged):
+            self.registration.set_relay(message.is_relay)
         elif isinstance(message, PeerStateRequest):
-            reply = PeerStateReply(message.exchange, self._encode_state())
+            reply = PeerReply(message.exchange, self._encode_state())
             self.loop.post(message.sender, reply)
         elif isinstance(message, ShutdownStarted):
-            self._fire_registration("leave")
+            self.registration.fire("leave")
 
     # Sinks of the watches.
 
@@ -210,25 +221,25 @@
         self.log.write("configuration", version=table.version, revision=item.revision)
         self._notify(RoutesReplaced(table))
 
-    def replace_hosts(self, items):
+    def replace_hosts(self, update):
         """Replace the known hosts by a complete listing."""
         listed = []
-        for item in items:
+        for item in update.changes:
             entry = self._decode_host(item)
             if entry is not None:
                 listed.append((entry, item.revision))
-                if item.key == self.key and self.registration.written is None:
+                is_own = item.key == self.registration.key
+                if is_own and not self.registration.has_written:
                     self._notify(OwnEntryFound(entry.upstream))
         self.directory.replace(listed, self.loop.clock())
-        if all(item.key != self.key for item in items):
-            self._fire_registration("vanished")
+        self.registration.check_listing(update)
         self._notify_hosts()
 
     def apply_host_changes(self, changes):
         """Apply changes of hosts in their order."""
         for change in changes:
-            if change.key == self.key:
-                self._check_own_entry(change)
+            if change.key == self.registration.key:
+                self.registration.check_change(change)
             if isinstance(change, StoredItem):
                 entry = self._decode_host(change)
                 if entry is not None:
@@ -273,14 +284,6 @@
         self._notify_hosts()
         self.apply_configuration(state.configuration)
 
-    def _check_own_entry(self, change):
-        """Register again if this host's entry was changed or removed by another."""
-        if isinstance(change, StoredItem):
-            written = self.registration.written
-            if written is not None and change.value == encode_entry(written):
-                return
-        self._fire_registration("vanished")
-
     def _decode_host(self, item):
         entry = decode_entry(item.value)
         if entry is None or HOSTS_PREFIX + entry.name != item.key:
@@ -298,32 +301,6 @@
 
     # Effects.
 
-    def _fire_registration(self, event, message=None):
-        for effect in self.registration.fire(event, message) or ():
-            if isinstance(effect, RequestLease):
-                self.client.call(
-                    self.dialect.grant_lease(effect.ttl_s),
-                    self._handle_registration_outcome,
-                )
-            elif isinstance(effect, KeepLease):
-                self.client.call(
-                    self.dialect.keep_lease(effect.lease),
-                    self._handle_registration_outcome,
-                )
-            elif isinstance(effect, WriteEntry):
-                value = encode_entry(effect.entry)
-                call = self.dialect.write(self.key, value, effect.lease)
-                self.client.call(call, self._handle_registration_outcome)
-            elif isinstance(effect, RemoveEntry):
-                self.client.call(
-                    self.dialect.remove(self.key), self._handle_registration_outcome
-                )
-            elif isinstance(effect, StartTimer):
-                self._start_timer("registration", effect, self._fire_registration)
-
-    def _handle_registration_outcome(self, outcome):
-        self._fire_registration(REGISTRATION_EVENTS[type(outcome)], outcome)
-
     def _carry_out_watch_effects(self, watch, effects):
         for effect in effects:
             if isinstance(effect, ReadPage):
@@ -336,7 +313,7 @@
                 self._call_for_watch(watch, call, effect.wait_s + WATCH_MARGIN_S)
             elif isinstance(effect, StartTimer) and not self._defers_probe(watch):
                 fire = partial(self._fire_watch, watch)
-                self._start_timer(watch.prefix, effect, fire)
+                self.timers.start(watch.prefix, effect, partial(fire, effect.event))
 
     def _defers_probe(self, watch):
         """Whether a failed watch waits for another call to probe the store.
@@ -350,16 +327,19 @@
             return False
         routes = self.watches["routes"]
         has_other = watch is not routes and routes.state == "pausing"
-        return has_other or self.registration.state in ("renewing", "pausing")
+        return has_other or self.registration.is_retrying
 
     def _call_for_watch(self, watch, call, timeout_s):
         """Make the call of a watch and cancel its earlier one."""
-        earlier = self.watch_calls.get(watch.prefix)
-        if earlier is not None:
-            earlier.cancel()
+        self._cancel_watch_call(watch)
         on_outcome = partial(self._handle_watch_outcome, watch)
         self.watch_calls[watch.prefix] = self.client.call(call, on_outcome, timeout_s)
 
+    def _cancel_watch_call(self, watch):
+        call = self.watch_calls.pop(watch.prefix, None)
+        if call is not None:
+            call.cancel()
+
     def _handle_watch_outcome(self, watch, outcome):
         unreadable = getattr(outcome, "unreadable", 0)
         if unreadable:
@@ -373,24 +353,41 @@
 
     def _fire_watch(self, watch, event, message=None):
         self._carry_out_watch_effects(watch, watch.fire(event, message))
+        self._report_source()
 
-    def _start_timer(self, owner, effect, fire):
-        key = (owner, effect.event)
-        if key in self.event_timers:
-            self.event_timers[key].cancel()
-        run = partial(fire, effect.event)
-        self.event_timers[key] = self.loop.call_after(effect.delay_s, run)
+    def _apply_relayed(self, update):
+        for watch in self.watches.values():
+            if watch.prefix == update.prefix:
+                self._fire_watch(watch, "relayed", update)
+
+    def _leave_store(self):
+        """End the watches, since a relay reports the changes."""
+        for watch in self.watches.values():
+            self._cancel_watch_call(watch)
+            self.timers.cancel(watch.prefix, "retry")
+            self._fire_watch(watch, "follow")
+
+    def _report_source(self):
+        """Tell the feed task whether other nodes may rely on the watches here."""
+        is_available = self.client.health.state == "available"
+        is_source = is_available and all(
+            watch.is_reporting for watch in self.watches.values()
+        )
+        if is_source != self.is_source and self.feed is not None:
+            self.is_source = is_source
+            self.loop.post(self.feed, SourceChanged(is_source))
 
     def _resync(self):
         """Resume watches and registration after the store was unavailable."""
         for watch in self.watches.values():
             if watch.state != "listing":
                 self._fire_watch(watch, "store_returned")
-        if self.registration.state in ("pausing", "renewing"):
-            self._fire_registration("retry")
+        if self.registration.is_retrying:
+            self.registration.fire("retry")
 
     def _tick(self):
         available_since = self.client.health.available_since
         if self.directory.tick(self.loop.clock(), available_since):
             self._notify_hosts()
+        self._report_source()
         self.timer = self.loop.call_after(TICK_S, self._tick)
--- a/packages/cyclamentally-calls/cyclamentally_calls/work.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/work.py
@@ -1,6 +1,10 @@
 """Requests at the gate, and the upstream that the gate protects."""
 
+from cyclamentally.errors import Done
 from cyclamentally.repeated_runs import find_run
+from cyclamentally_calls.peer_codec import mark_final
+
+FIRST_SERVER_ERROR = 500
 
 
 class LocalUpstream:
@@ -60,6 +64,13 @@
         self.ticket = ticket
         self.outgoing = None
 
+    def mark_if_final(self, outcome):
+        """Return ``Done``, marked if a call without retry budget has made it fail."""
+        is_failure = outcome.value.status >= FIRST_SERVER_ERROR
+        if is_failure and self.call_lacked_budget:
+            return Done(mark_final(outcome.value))
+        return outcome
+
 
 class WorkTable:
     """The requests at a gate: by number, by sender and, while they run, by ID."""
--- a/packages/cyclamentally/cyclamentally/registration.py
+++ b/packages/cyclamentally/cyclamentally/registration.py
@@ -10,6 +10,9 @@
 LEASE_TTL_S = 8.0
 # The lease outlasts two failed renewals.
 RENEW_INTERVAL_S = 2.5
+# Relays renew more often: the failed renewal is how they learn that they are cut off
+# from the store, while their followers still rely on them.
+RELAY_RENEW_INTERVAL_S = 0.75
 
 
 class RequestLease(Record):
@@ -56,7 +59,16 @@
         Source of the jitter of retries.
     """
 
-    __slots__ = ("backoff", "entry", "lease", "random", "state", "written")
+    __slots__ = (
+        "backoff",
+        "entry",
+        "lease",
+        "random",
+        "renew_interval_s",
+        "state",
+        "written",
+        "written_revision",
+    )
 
     def __init__(self, random):
         self.random = random
@@ -64,6 +76,9 @@
         self.backoff = Backoff(FIRST_RETRY_S, LONGEST_RETRY_S, random)
         self.entry = None
         self.written = None
+        # Revision of the written entry. Reports of earlier ones are outdated.
+        self.written_revision = 0
+        self.renew_interval_s = RENEW_INTERVAL_S
         self.lease = 0
 
     def fire(self, event, message=None):
@@ -91,10 +106,14 @@
         self.written = self.entry
         return [WriteEntry(self.entry, self.lease)]
 
+    def note_written(self, written):
+        """Store the revision of the entry."""
+        self.written_revision = written.revision
+
     def schedule_renewal(self, message):
         """Schedule the renewal of the lease."""
         self.backoff.reset()
-        return [StartTimer("renew", RENEW_INTERVAL_S)]
+        return [StartTimer("renew", self.renew_interval_s)]
 
     def keep_lease(self, message):
         """Renew the lease."""
--- a/packages/cyclamentally/cyclamentally/tests/test_chart.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_chart.py
@@ -7,6 +7,7 @@
 from cyclamentally.announcements import Announcement
 from cyclamentally.chart import ChartError, ChartLoader
 from cyclamentally.endpoints import Endpoint
+from cyclamentally.feeds import Feed
 from cyclamentally.forwarding import Forwarding
 from cyclamentally.gate import Gate
 from cyclamentally.hosts import ListedHost
@@ -28,6 +29,7 @@
     Claim,
     Announcement,
     Endpoint,
+    Feed,
     NodeLifecycle,
     Member,
     Relay,
--- a/packages/cyclamentally/cyclamentally/tests/test_watching.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_watching.py
@@ -20,11 +20,11 @@
         self.listings = []
         self.changes = []
 
-    def on_listing(self, items):
-        self.listings.append([item.key for item in items])
-
-    def on_changes(self, changes):
-        self.changes += changes
+    def on_update(self, update):
+        if update.is_listing:
+            self.listings.append([item.key for item in update.changes])
+        else:
+            self.changes += update.changes
 
 
 class Clock:
--- a/packages/cyclamentally/cyclamentally/watching.py
+++ b/packages/cyclamentally/cyclamentally/watching.py
@@ -4,6 +4,7 @@
 
 from cyclamentally.chart import runs_chart
 from cyclamentally.effects import StartTimer
+from cyclamentally.feed_log import FeedUpdate
 from cyclamentally.limits import Backoff
 from cyclamentally.records import Record
 from cyclamentally.store_outcomes import FIRST_RETRY_S, LONGEST_RETRY_S
@@ -58,12 +59,8 @@
     __slots__ = ()
 
     @abstractmethod
-    def on_listing(self, items):
-        """Replace all known items by a complete listing."""
-
-    @abstractmethod
-    def on_changes(self, changes):
-        """Apply a list of `StoredItem` and `RemovedKey` in order."""
+    def on_update(self, update):
+        """Apply a `FeedUpdate`: a complete listing, or changes in order."""
 
 
 @runs_chart("store_watch")
@@ -131,6 +128,11 @@
         self.revision = 0
         self.listing_revision = None
 
+    @property
+    def is_reporting(self):
+        """Whether the store has been listed and reports changes to this watch."""
+        return self.revision > 0 and self.state not in ("pausing", "following")
+
     def fire(self, event, message=None):
         """Run an event and return the effects."""
         return self.chart.fire(self, event, message)
@@ -160,7 +162,7 @@
         self.revision = self.listing_revision
         items, self.items = self.items, []
         self._note_revisions(items)
-        self.sink.on_listing(items)
+        self.sink.on_update(FeedUpdate(self.prefix, self.revision, True, items))
 
     def watch(self, message):
         """Wait for changes after the last known revision."""
@@ -184,7 +186,18 @@
             follows = last is not None and now - last < MAX_SERIES_GAP_S
             self.series = follows or len(changes.changes) > 1
             self._note_revisions(changes.changes)
-            self.sink.on_changes(changes.changes)
+            update = FeedUpdate(self.prefix, self.revision, False, changes.changes)
+            self.sink.on_update(update)
+
+    def is_news(self, update):
+        """Whether a relay's update goes beyond what is known."""
+        return update.revision > self.revision
+
+    def apply_relayed(self, update):
+        """Pass a relay's update to the sink."""
+        self.revision = update.revision
+        self._note_revisions(update.changes)
+        self.sink.on_update(update)
 
     def is_in_series(self, message):
         """Whether the newest items are listed instead of each change."""
