--- a/packages/cyclamentally-calls/cyclamentally_calls/feed_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/feed_task.py
@@ -44,8 +44,8 @@
 CONNECT_TIMEOUT_S = 0.25
 ACK_TIMEOUT_S = 0.8
 IDLE_TIMEOUT_S = 30.0
-# A relay has passed on a configuration that other nodes use within this time.
-OUTDATED_GRACE_S = 0.3
+# Time for a call to the store and for passing its answer on.
+TRANSFER_S = 0.25
 
 
 class HeldRequest:
@@ -80,6 +80,9 @@
         Decides where this node gets the items from.
     prefixes : list of str
         Prefixes of the store; the first holds the configuration.
+    gather_s : float
+        Time for which a watch collects changes of the configuration, in seconds.
+        Nodes may be behind each other by as much.
     store : Task
         The store task, which owns the watches.
     counters : Counters
@@ -97,6 +100,7 @@
         "log",
         "logs",
         "loop",
+        "outdated_grace_s",
         "outdated_timer",
         "outgoing",
         "pool",
@@ -106,9 +110,10 @@
         "was_relay",
     )
 
-    def __init__(self, loop, feed, prefixes, store, counters, log):
+    def __init__(self, loop, feed, prefixes, gather_s, store, counters, log):
         self.loop = loop
         self.feed = feed
+        self.outdated_grace_s = gather_s + TRANSFER_S
         self.store = store
         self.counters = counters
         self.log = log
@@ -280,7 +285,7 @@
             return
         if self.outdated_timer is None:
             leave = partial(self._leave_outdated, version)
-            self.outdated_timer = self.loop.call_after(OUTDATED_GRACE_S, leave)
+            self.outdated_timer = self.loop.call_after(self.outdated_grace_s, leave)
 
     def _leave_outdated(self, version):
         self.outdated_timer = None
--- a/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
@@ -236,6 +236,7 @@
             self.loop,
             Feed(place.name, place.domain, self.loop.clock()),
             self.store.prefixes,
+            self.store.watches["routes"].gather_s,
             self.store,
             self.counters,
             self.log,
