Serve callers that come back first from the retry budget

Change: a request with less time left than others of its route comes from a caller that was refused before, or is a call of an upstream, which cannot come back; others may use 0.4 of the budget. A refusal after shedding names 50 ms, since shedding does not depend on the load. Intake starts requests, without a network.

--- a/packages/cyclamentally-calls/cyclamentally_calls/caller_codec.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/caller_codec.py
@@ -1,5 +1,6 @@
 """Decoding of callers' requests and encoding of refusals for callers."""
 
+from cyclamentally.errors import Kind
 from cyclamentally_calls.http_codec import Response, end_to_end_headers
 from cyclamentally_calls.peer_codec import PEER_HEADERS
 
@@ -8,6 +9,9 @@
 MIN_RETRY_AFTER_S = 0.02
 # Used if no gate has estimated a wait; about the duration of one request.
 DEFAULT_RETRY_AFTER_S = 0.2
+# Upstreams that shed do so at random, whatever the load: a retry may succeed at once.
+SHED_RETRY_AFTER_S = 0.05
+DEFAULT_WAITS_S = {Kind.UPSTREAM_OVERLOADED: SHED_RETRY_AFTER_S}
 
 
 def find_rule(table, request):
@@ -18,12 +22,10 @@
     return table.find(host, path)
 
 
-def timeout_of(request, rule, names):
-    """Return the timeout of a request in seconds: the caller's, at most the route's."""
+def time_left_of(request, names):
+    """Return the time that a caller waits in seconds; None if it does not tell."""
     text = request.find(names.deadline_ms.lower)
-    if text.isdigit():
-        return min(int(text) / MS_PER_S, rule.timeout_s)
-    return rule.timeout_s
+    return int(text) / MS_PER_S if text.isdigit() else None
 
 
 def forwarded_headers(request, service, names):
@@ -58,7 +60,8 @@
     answer = refusal.answer
     headers = [(b"Content-Type", b"text/plain")]
     if answer.retry_after is not None:
-        wait = max(MIN_RETRY_AFTER_S, refusal.wait or DEFAULT_RETRY_AFTER_S)
+        wait = refusal.wait or DEFAULT_WAITS_S.get(refusal.kind, DEFAULT_RETRY_AFTER_S)
+        wait = max(MIN_RETRY_AFTER_S, wait)
         headers.append((b"Retry-After", b"%.3f" % wait))
     echo = request.find(names.request_id.lower) if request is not None else b""
     if echo:
--- a/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
@@ -3,11 +3,10 @@
 from functools import partial
 
 from cyclamentally.body_budget import max_body_bytes
-from cyclamentally.budgets import RetryBudgets
 from cyclamentally.errors import Done, Kind, Refused
-from cyclamentally.forwarding import Forwarding, OfferResult, no_upstream, time_over
+from cyclamentally.forwarding import OfferResult, no_upstream, time_over
+from cyclamentally.intake import Intake
 from cyclamentally.placing import pause_for_refusal
-from cyclamentally.repeated_runs import RepeatedRuns
 from cyclamentally.routes import DEFAULT_LIMITS
 from cyclamentally_calls.call_events import (
     CallNotRetried,
@@ -27,7 +26,7 @@
     find_rule,
     forwarded_headers,
     refusal_response,
-    timeout_of,
+    time_left_of,
 )
 from cyclamentally_calls.calls import (
     Call,
@@ -89,7 +88,6 @@
     """
 
     __slots__ = (
-        "budgets",
         "by_exchange",
         "calls",
         "connections",
@@ -97,16 +95,15 @@
         "gate",
         "host",
         "hosts",
+        "intake",
         "limits",
         "listener",
         "log",
         "loop",
         "names",
-        "number",
         "peer_address",
         "upstreams",
         "pool",
-        "repeated_runs",
         "service",
         "store",
         "table",
@@ -133,7 +130,7 @@
         self.names = names
         self.upstreams = upstreams
         self.round_robin = round_robin
-        self.budgets = RetryBudgets(budget_rule)
+        self.intake = Intake(budget_rule)
         self.counters = counters
         self.log = log
         self.listener = Listener(loop, address, self._accept, log.listener_failed)
@@ -146,8 +143,6 @@
         self.hosts = {}
         self.calls = {}
         self.by_exchange = {}
-        self.repeated_runs = RepeatedRuns()
-        self.number = 0
         self.gate = None
         self.store = None
 
@@ -173,7 +168,7 @@
         elif isinstance(message, RoutesReplaced):
             self._replace_routes(message.table)
         elif isinstance(message, RepeatedRunChanged):
-            self.repeated_runs.update(message.request_id, message.is_running)
+            self.intake.repeated_runs.update(message.request_id, message.is_running)
         elif isinstance(message, ServiceChanged):
             self.service = message.service
         elif isinstance(message, DrainConnections):
@@ -197,20 +192,19 @@
         if rule is None:
             self._refuse(exchange, Refused(Kind.NO_ROUTE, "no matching route"))
             return
-        service = self.round_robin.choose(rule)
-        expires = exchange.arrived + timeout_of(request, rule, self.names)
-        is_repeat = self.repeated_runs.has_made(request_id_of(request, self.names))
-        budget = self.budgets.note_request(service, is_repeat, self.loop.clock())
-        self.number += 1
-        forwarding = Forwarding(
-            self.number, rule, service, exchange.arrived, expires, budget, is_repeat
+        forwarding = self.intake.start(
+            rule,
+            self.round_robin.choose(rule),
+            request_id_of(request, self.names),
+            time_left_of(request, self.names),
+            exchange.arrived,
         )
         call = Call(
             exchange, forwarding, forwarded_headers(request, self.service, self.names)
         )
         self.calls[forwarding.number] = call
         self.by_exchange[exchange] = call
-        call.timer = self.loop.call_at(expires, lambda: self._time_out(call))
+        call.timer = self.loop.call_at(forwarding.expires, lambda: self._time_out(call))
         self._dispatch(call)
 
     def on_disconnect(self, exchange):
--- a/packages/cyclamentally/cyclamentally/budgets.py
+++ b/packages/cyclamentally/cyclamentally/budgets.py
@@ -6,6 +6,9 @@
 
 # Safety margin, since the sliding windows of the nodes are not aligned.
 USABLE_SHARE = 0.7
+# Callers that can come back themselves may use this share of the budget; the rest is
+# for those that have come back already, and for calls of upstreams.
+FRESH_SHARE = 0.4
 
 
 class RetryBudgetRule(Record):
@@ -49,7 +52,7 @@
         self.repeats.append(now)
         self._drop_expired(now)
 
-    def take(self, now, nodes):
+    def take(self, now, nodes, is_returning=True):
         """Spend one retry; return whether the budget allowed it.
 
         Parameters
@@ -58,10 +61,14 @@
             Time in seconds.
         nodes : int
             Nodes that share the slack.
+        is_returning : bool
+            Whether the caller has come back after a refusal, or cannot come back.
         """
         self._drop_expired(now)
         slack = self.rule.slack / max(1, nodes)
         allowed = USABLE_SHARE * (self.rule.ratio * len(self.first_sends) + slack)
+        if not is_returning:
+            allowed *= FRESH_SHARE
         if len(self.repeats) + 1 > allowed:
             return False
         self.repeats.append(now)
--- a/packages/cyclamentally/cyclamentally/forwarding.py
+++ b/packages/cyclamentally/cyclamentally/forwarding.py
@@ -61,6 +61,8 @@
         Retry budget of the service.
     is_call_of_repeat : bool
         Whether a repeated run of another request has made this one.
+    is_returning : bool
+        Whether the caller has come back after a refusal, or cannot come back.
     """
 
     __slots__ = (
@@ -70,6 +72,7 @@
         "expires",
         "arrived",
         "is_call_of_repeat",
+        "is_returning",
         "lacked_budget",
         "losses",
         "number",
@@ -92,6 +95,7 @@
         expires,
         budget,
         is_call_of_repeat=False,
+        is_returning=True,
     ):
         self.number = number
         self.rule = rule
@@ -100,6 +104,7 @@
         self.expires = expires
         self.budget = budget
         self.is_call_of_repeat = is_call_of_repeat
+        self.is_returning = is_returning
         self.state = self.chart.initial
         self.answer = None
         self.attempts = 0
@@ -197,7 +202,7 @@
         return Refused(self.refusal.kind, self.refusal.detail, self.wait)
 
     def _take_retry(self, result):
-        is_allowed = self.budget.take(result.now, result.nodes)
+        is_allowed = self.budget.take(result.now, result.nodes, self.is_returning)
         self.lacked_budget = not is_allowed
         return is_allowed
 
--- /dev/null
+++ b/packages/cyclamentally/cyclamentally/returning_callers.py
@@ -0,0 +1,42 @@
+"""Recognizes callers that come back after a refusal, by the time that they have left.
+
+A caller that comes back has fewer tries of its own left. While upstreams shed and the
+retry budget is short, a retry is worth more to it than to a caller that can still come
+back twice (`test_returning_callers.py`).
+"""
+
+# Clients that connect or send slowly have a little less time left than others. A
+# refusal and the wait that it names take longer.
+MIN_ELAPSED_S = 0.04
+# Bounds the memory; configurations have up to 2,000 routes.
+MAX_KNOWN_ROUTES = 256
+
+
+class CallerDeadlines:
+    """Longest time that callers of each route leave for a request."""
+
+    __slots__ = ("longest",)
+
+    def __init__(self):
+        self.longest = {}
+
+    def is_returning(self, route, left_s):
+        """Return whether a caller has less time left than those that come first.
+
+        Parameters
+        ----------
+        route : str
+            Route of the request.
+        left_s : float or None
+            Time that the caller waits, in seconds; None if it does not tell. Such
+            callers cannot be told apart and are all treated alike.
+        """
+        if left_s is None:
+            return True
+        longest = self.longest.get(route)
+        if longest is None and len(self.longest) >= MAX_KNOWN_ROUTES:
+            return False
+        if longest is None or left_s > longest:
+            self.longest[route] = left_s
+            return False
+        return longest - left_s >= MIN_ELAPSED_S
--- a/packages/cyclamentally/cyclamentally/tests/test_watching.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_watching.py
@@ -2,7 +2,14 @@
 
 import pytest
 
-from cyclamentally.registration import KeepLease, Registration, RequestLease, WriteEntry
+from cyclamentally.feed_log import FeedUpdate
+from cyclamentally.registration import (
+    RELAY_RENEW_INTERVAL_S,
+    KeepLease,
+    Registration,
+    RequestLease,
+    WriteEntry,
+)
 from cyclamentally.store_outcomes import (
     Changes,
     HistoryLost,
@@ -11,6 +18,7 @@
     RemovedKey,
     StoredItem,
     StoreFailed,
+    Written,
 )
 from cyclamentally.watching import AwaitChanges, ReadPage, Watch, WatchSink
 
@@ -146,7 +154,7 @@
     assert isinstance(registration.fire("wanted", "entry 1")[0], RequestLease)
     effects = registration.fire("lease_granted", LeaseGranted(7, 8.0))
     assert effects == [WriteEntry("entry 1", 7)]
-    registration.fire("written")
+    registration.fire("written", Written(20))
     assert registration.state == "listed"
     assert registration.fire("renew") == [KeepLease(7)]
 
@@ -155,14 +163,14 @@
     registration.fire("wanted", "entry 1")
     registration.fire("lease_granted", LeaseGranted(7, 8.0))
     registration.fire("wanted", "entry 2")
-    assert registration.fire("written") == [WriteEntry("entry 2", 7)]
+    assert registration.fire("written", Written(20)) == [WriteEntry("entry 2", 7)]
 
 
 @pytest.mark.parametrize("event", ["lease_ended", "vanished"])
 def test_an_entry_that_was_lost_gets_a_new_lease(registration, event):
     registration.fire("wanted", "entry 1")
     registration.fire("lease_granted", LeaseGranted(7, 8.0))
-    registration.fire("written")
+    registration.fire("written", Written(20))
     assert isinstance(registration.fire(event)[0], RequestLease)
 
 
@@ -191,3 +199,35 @@
     watch.fire("last_page", Page([], False, 9))
     (wake,) = watch.fire("changes", Changes([item("p/b", 10)], 10))
     assert 0.3 * in_force_s < wake.delay_s < 0.5 * in_force_s
+
+
+def test_relayed_updates_are_applied_while_a_relay_is_followed(watch, sink):
+    watch.fire("follow")
+    watch.fire("relayed", FeedUpdate("p/", 12, False, [item("p/b", 12)]))
+    watch.fire("relayed", FeedUpdate("p/", 11, True, []))
+    assert [change.key for change in sink.changes] == ["p/b"]
+    assert sink.listings == [["p/a"]]
+    assert watch.fire("resume") == [ReadPage("p/", "")]
+
+
+def test_late_relayed_update_is_ignored_after_the_relay_was_left(watch, sink):
+    watch.fire("follow")
+    watch.fire("resume")
+    watch.fire("relayed", FeedUpdate("p/", 99, True, []))
+    assert sink.listings == [["p/a"]]
+
+
+def test_calls_of_the_store_are_ignored_while_a_relay_is_followed(watch):
+    watch.fire("follow")
+    assert not watch.is_reporting
+    for event in ("store_returned", "retry", "failed"):
+        assert not watch.fire(event, FAILED)
+    assert watch.state == "following"
+
+
+def test_relays_renew_their_lease_more_often(registration):
+    registration.renew_interval_s = RELAY_RENEW_INTERVAL_S
+    registration.fire("wanted", "entry 1")
+    registration.fire("lease_granted", LeaseGranted(7, 8.0))
+    (timer,) = registration.fire("written", Written(20))
+    assert timer.delay_s == RELAY_RENEW_INTERVAL_S
