Let a restarted node follow a relay as soon as it knows one

Change: only a node that has left a relay waits before it follows again; the first listing triggers the check.

--- a/packages/cyclamentally-calls/cyclamentally_calls/feed_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/feed_task.py
@@ -154,8 +154,11 @@
             self._handle_request(message)
         elif isinstance(message, HostsReplaced):
             entries = [e for group in message.by_service.values() for e in group]
+            is_first = not self.feed.relays
             self.feed.update_hosts(entries)
             self._report_role()
+            if is_first and self.feed.relays:
+                self._carry_out(self.feed.check(self.loop.clock()))
         elif isinstance(message, SourceChanged):
             self._set_source(message.is_source)
         elif isinstance(message, RoutesReplaced):
--- a/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
@@ -234,7 +234,7 @@
         place = self.settings.place
         feed = FeedTask(
             self.loop,
-            Feed(place.name, place.domain, self.loop.clock()),
+            Feed(place.name, place.domain),
             self.store.prefixes,
             self.store.watches["routes"].gather_s,
             self.store,
--- a/packages/cyclamentally/cyclamentally/feeds.py
+++ b/packages/cyclamentally/cyclamentally/feeds.py
@@ -6,7 +6,7 @@
 hosts without an agreement, and two views of them cost calls but harm nothing.
 """
 
-from math import ceil
+from math import ceil, inf
 
 from cyclamentally.chart import runs_chart
 from cyclamentally.effects import Count, StateChanged
@@ -19,8 +19,8 @@
 MIN_RELAYS = 2
 # In a smaller failure domain, too few nodes would follow to be worth the delay.
 MIN_DOMAIN_HOSTS = 8
-# A node that has changed its source keeps it for this time. Starting hosts learn of
-# each other in these seconds, and every change costs a call to the store.
+# A node that has left a relay watches the store for this time; every change costs
+# calls to the store.
 MIN_STAY_S = 1.0
 # A relay that has failed is not followed again for this time.
 AVOID_S = 5.0
@@ -62,8 +62,6 @@
     ----------
     name, domain : str
         This host and its failure domain.
-    now : float
-        Time in seconds.
     """
 
     __slots__ = (
@@ -78,7 +76,7 @@
         "state",
     )
 
-    def __init__(self, name, domain, now):
+    def __init__(self, name, domain):
         self.name = name
         self.domain = domain
         self.state = self.chart.initial
@@ -88,8 +86,9 @@
         self.relay = None
         # Relays that have failed, with the time until which they are avoided.
         self.avoided = {}
-        self.changed_at = now
-        self.now = now
+        # A node that restarts follows a relay as soon as it knows one.
+        self.changed_at = -inf
+        self.now = 0.0
 
     @property
     def is_relay(self):
--- a/packages/cyclamentally/cyclamentally/tests/test_feeds.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_feeds.py
@@ -23,7 +23,7 @@
 
 
 def make_feed(name, hosts):
-    feed = Feed(name, "d1", 0.0)
+    feed = Feed(name, "d1")
     feed.update_hosts(hosts)
     feed.on_listing()
     return feed
@@ -68,7 +68,7 @@
 
 
 def test_store_is_watched_until_the_hosts_have_been_listed(hosts):
-    feed = Feed("d1-new", "d1", 0.0)
+    feed = Feed("d1-new", "d1")
     feed.update_hosts(hosts)
     assert feed.check(SETTLED) == []
     feed.on_listing()
@@ -130,3 +130,9 @@
     follower.on_failure("no answer", 2.0)
     assert follower.on_answer(2.1) == []
     assert follower.on_failure("late", 2.1) == []
+
+
+def test_node_that_restarts_follows_a_relay_at_once(hosts):
+    feeds = [make_feed(host.name, hosts) for host in hosts]
+    feed = next(feed for feed in feeds if not feed.is_relay)
+    assert FollowRelay in types(feed.check(0.01))
