Estimate the service time of an upstream from its other routes

Cause: an upstream without an answer on a route counted as fast (50 ms) there, so each node tried the slow ones once for every route; and a gate that had not measured a route yet reported 50 ms with its refusals. Change: the typical time of the route over all upstreams, times the upstream's slowness on other routes; one that has never answered still counts as fast, so that it is tried. Refusals tell the load only.

--- a/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
@@ -302,7 +302,8 @@
         now = self.loop.clock()
         view.in_flight -= 1
         if load is not None:
-            view.update_load(load, forwarding.rule.name, now)
+            is_answered = isinstance(outcome, Done)
+            view.update_load(load, forwarding.rule.name, now, is_answered)
         nodes = len(self.upstreams.views)
         if isinstance(outcome, Done):
             view.succeed()
--- a/packages/cyclamentally/cyclamentally/placing.py
+++ b/packages/cyclamentally/cyclamentally/placing.py
@@ -5,6 +5,7 @@
 from cyclamentally.errors import Kind
 from cyclamentally.gate_messages import DEFAULT_SERVICE_TIME_S
 from cyclamentally.records import Record
+from cyclamentally.typical_times import SLOWNESS_WEIGHT, TypicalTimes
 
 # Round trips within a failure domain, within a region and between regions, as in
 # the users' deployments.
@@ -64,6 +65,8 @@
         The host with its upstream.
     distance_s : float
         Round trip plus the penalty for remote traffic, in seconds.
+    typical_times : TypicalTimes, optional
+        Service times of all upstreams, shared by the views of a node.
     """
 
     __slots__ = (
@@ -76,9 +79,15 @@
         "load_known_at",
         "sent_since_load",
         "service_times",
+        "slowness",
+        "typical_times",
     )
 
-    def __init__(self, entry, distance_s):
+    def __init__(self, entry, distance_s, typical_times=None):
+        self.typical_times = typical_times or TypicalTimes()
+        # Mean ratio of its service times to the typical ones; None until it has
+        # answered. Such an upstream counts as fast, so that it is tried.
+        self.slowness = None
         self.entry = entry
         self.distance_s = distance_s
         self.failures = 0
@@ -89,12 +98,29 @@
         self.sent_since_load = 0
         self.service_times = {}
 
-    def update_load(self, load, route, now):
-        """Store the load that the gate has reported."""
+    def update_load(self, load, route, now, is_answered=True):
+        """Store the load that the gate has reported.
+
+        Parameters
+        ----------
+        load : Load
+            The load.
+        route : str
+            Route of the request that it was reported with.
+        now : float
+            Time in seconds.
+        is_answered : bool
+            Whether the upstream has answered the request. If not, the gate may never
+            have measured the route.
+        """
         self.load = load
         self.load_known_at = now
         self.sent_since_load = 0
-        self.service_times[route] = load.service_time_s
+        if is_answered:
+            self.service_times[route] = load.service_time_s
+            ratio = self.typical_times.update(route, load.service_time_s)
+            known = ratio if self.slowness is None else self.slowness
+            self.slowness = known + SLOWNESS_WEIGHT * (ratio - known)
 
     def succeed(self):
         """Reset the backoff after an answer."""
@@ -137,7 +163,11 @@
 
     def finish_time(self, route, now):
         """Return the expected time until an answer, in seconds."""
-        usual = self.service_times.get(route, DEFAULT_SERVICE_TIME_S)
+        usual = self.service_times.get(route)
+        if usual is None and self.slowness is None:
+            usual = DEFAULT_SERVICE_TIME_S
+        elif usual is None:
+            usual = self.slowness * self.typical_times.mean(route)
         slots = self.entry.upstream.slots
         excess = self.occupancy(now) + 1 - slots
         return usual * (1 + max(0.0, excess) / slots)
@@ -212,12 +242,13 @@
         Strategy of the choice.
     """
 
-    __slots__ = ("domain", "placement", "region", "views")
+    __slots__ = ("domain", "placement", "region", "typical_times", "views")
 
     def __init__(self, domain, region, placement):
         self.domain = domain
         self.region = region
         self.placement = placement
+        self.typical_times = TypicalTimes()
         self.views = {}
 
     def update(self, entries):
@@ -226,7 +257,8 @@
         for entry in entries:
             view = self.views.get(entry.name)
             if view is None or view.entry.upstream.name != entry.upstream.name:
-                view = UpstreamView(entry, self._distance(entry))
+                distance_s = self._distance(entry)
+                view = UpstreamView(entry, distance_s, self.typical_times)
             view.entry = entry
             known[entry.name] = view
         self.views = known
