--- a/packages/cyclamentally/cyclamentally/placing.py
+++ b/packages/cyclamentally/cyclamentally/placing.py
@@ -25,7 +25,7 @@
 MAX_OCCUPANCY_SHARE = 0.8
 # Multiple of the expected time that has to fit into the target: service times vary
 # by a third.
-TARGET_MARGIN = 1.6
+TARGET_MARGIN = 1.3
 # Upstreams whose cost is within this of the best are chosen among at random, so
 # that the nodes do not all send to the same one.
 COST_TOLERANCE_S = 0.004
