Let a relay that starts answer its followers once its own watches report

Cause: after a failure of the whole fleet all nodes find the relays of before in the store, and these start at the same time; they refused their followers, which listed the store for a second time. Items are noted before the hosts in them are applied. PeerStateRequest and FeedRequest share a base class.

--- a/packages/cyclamentally-calls/cyclamentally_calls/call_events.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/call_events.py
@@ -138,8 +138,8 @@
         self.version = version
 
 
-class PeerStateRequest(Record):
-    """Another node has requested the configuration and the hosts.
+class NodeRequest(Record):
+    """Another node has made a request to this one.
 
     Parameters
     ----------
@@ -156,6 +156,18 @@
         self.exchange = exchange
 
 
+class PeerStateRequest(NodeRequest):
+    """Another node has requested the configuration and the hosts."""
+
+    __slots__ = ()
+
+
+class FeedRequest(NodeRequest):
+    """Another node has requested the changes of the store's items."""
+
+    __slots__ = ()
+
+
 class PeerReply(Record):
     """Reply to another node's request; without a body, the request is refused."""
 
@@ -265,24 +277,6 @@
         self.upstream = upstream
 
 
-class FeedRequest(Record):
-    """Another node has requested the changes of the store's items.
-
-    Parameters
-    ----------
-    sender : Task
-        Receiver of `PeerReply`.
-    exchange : Exchange
-        The other node's request, returned in `PeerReply`.
-    """
-
-    __slots__ = ("sender", "exchange")
-
-    def __init__(self, sender, exchange):
-        self.sender = sender
-        self.exchange = exchange
-
-
 class ItemsChanged(Record):
     """Items of the store have been listed or have changed, as a `FeedUpdate`."""
 
--- a/packages/cyclamentally-calls/cyclamentally_calls/feed_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/feed_task.py
@@ -108,6 +108,7 @@
         "timer",
         "version",
         "was_relay",
+        "was_source",
     )
 
     def __init__(self, loop, feed, prefixes, gather_s, store, counters, log):
@@ -127,7 +128,9 @@
         self.held = []
         # Encoded answers by the revisions of the request, until the next change.
         self.bodies = {}
+        # Whether the watches of this node report all changes, and ever have.
         self.is_source = False
+        self.was_source = False
         self.was_relay = False
         self.version = 0
         self.outgoing = None
@@ -149,7 +152,8 @@
             self.feed.on_listing()
             if self.logs[message.update.prefix].apply(message.update):
                 self.bodies.clear()
-                self._answer_held()
+                if self.is_source:
+                    self._answer_held()
         elif isinstance(message, FeedRequest):
             self._handle_request(message)
         elif isinstance(message, HostsReplaced):
@@ -174,10 +178,12 @@
 
     def _handle_request(self, request):
         revisions = decode_feed_target(request.exchange.request.target, len(self.logs))
-        if revisions is None or not self.is_source:
+        if revisions is None or (self.was_source and not self.is_source):
             self._refuse(request)
             return
-        if not self._answer(request, revisions):
+        # After a failure of the whole fleet, relays and followers start together.
+        is_starting = not self.is_source
+        if is_starting or not self._answer(request, revisions):
             held = HeldRequest(request, revisions, None)
             held.timer = self.loop.call_after(HOLD_S, partial(self._end_hold, held))
             self.held.append(held)
@@ -205,15 +211,21 @@
 
     def _end_hold(self, held):
         self.held.remove(held)
-        self._reply(held.request, encode_updates([]), "no_changes")
+        if self.is_source:
+            self._reply(held.request, encode_updates([]), "no_changes")
+        else:
+            self._refuse(held.request)
 
     def _set_source(self, is_source):
         self.is_source = is_source
-        if not is_source:
-            held, self.held = self.held, []
-            for entry in held:
-                entry.timer.cancel()
-                self._refuse(entry.request)
+        if is_source:
+            self.was_source = True
+            self._answer_held()
+            return
+        held, self.held = self.held, []
+        for entry in held:
+            entry.timer.cancel()
+            self._refuse(entry.request)
 
     def _reply(self, request, body, result):
         self.counters.add("feed_requests_total", result)
--- a/packages/cyclamentally-calls/cyclamentally_calls/store_sinks.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_sinks.py
@@ -21,9 +21,9 @@
 
     def on_update(self, update):
         """Apply an update, and report it to the nodes that follow this one."""
-        self.apply(update)
         if self.task.feed is not None:
             self.task.loop.post(self.task.feed, ItemsChanged(update))
+        self.apply(update)
 
 
 class RouteSink(TaskSink):
