--- a/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
@@ -134,24 +134,7 @@
         self.table = None
         self.configuration = None
         self.peer_fallback = PeerFallback()
-        self.watches = {
-            "routes": Watch(
-                config_prefix,
-                RouteSink(self),
-                random,
-                loop.clock,
-                in_force_s,
-                polls_series=True,
-            ),
-            "hosts": Watch(
-                HOSTS_PREFIX,
-                HostSink(self),
-                random,
-                loop.clock,
-                HOSTS_UPDATE_TARGET_S,
-                may_be_stale=True,
-            ),
-        }
+        self.watches = self._make_watches(config_prefix, in_force_s, random)
         # The call in flight of each watch, by the watch's prefix.
         self.watch_calls = {}
         self.subscribers = []
@@ -249,6 +232,26 @@
                 self.directory.remove(name, change.revision, self.loop.clock())
         self._notify_hosts()
 
+    def _make_watches(self, config_prefix, in_force_s, random):
+        return {
+            "routes": Watch(
+                config_prefix,
+                RouteSink(self),
+                random,
+                self.loop.clock,
+                in_force_s,
+                polls_series=True,
+            ),
+            "hosts": Watch(
+                HOSTS_PREFIX,
+                HostSink(self),
+                random,
+                self.loop.clock,
+                HOSTS_UPDATE_TARGET_S,
+                may_be_stale=True,
+            ),
+        }
+
     def _encode_state(self):
         """Return the encoded `PeerState`; empty if there is no configuration yet."""
         if self.configuration is None:
