--- a/packages/cyclamentally-calls/cyclamentally_calls/server_connection.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/server_connection.py
@@ -266,7 +266,8 @@
     def _start_exchanges(self):
         """Start the first request and the following ones that may run concurrently."""
         for position, exchange in enumerate(list(self.exchanges)):
-            if position >= MAX_CONCURRENT_REQUESTS:
+            # A request that was refused unread is the last one and never starts.
+            if position >= MAX_CONCURRENT_REQUESTS or exchange.request is None:
                 return
             may_run_concurrently = self.handler.may_run_concurrently(exchange.request)
             if not exchange.is_started:
--- a/packages/cyclamentally-calls/cyclamentally_calls/tests/test_server_connection.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/tests/test_server_connection.py
@@ -113,6 +113,28 @@
     assert handler.exchanges == []
 
 
+@pytest.mark.parametrize(
+    ("unread", "status"),
+    [
+        (b"GET /2 HT", b"408"),
+        (get(b"/2", b"X: " + b"a" * 2_000 + b"\r\n"), b"431"),
+        (b"POST /2 HTTP/1.1\r\nContent-Length: 5000\r\n\r\n", b"413"),
+        (b"G\x00T /2 HTTP/1.1\r\n\r\n", b"400"),
+    ],
+    ids=["slow head", "long head", "long body", "malformed"],
+)
+def test_request_refused_unread_does_not_cut_the_pending_one(
+    caller, handler, pump, unread, status
+):
+    caller.send(get(b"/1") + unread)
+    pump.until(lambda: handler.exchanges)
+    pump.for_s(0.4)
+    handler.exchanges[0].respond(response(b"one"))
+    data = read_until(pump, caller, b"HTTP/1.1 " + status)
+    assert data.startswith(b"HTTP/1.1 200")
+    assert handler.gone == []
+
+
 def test_slow_request_head_is_refused(caller, handler, pump):
     caller.send(b"GET /1 HT")
     assert b"HTTP/1.1 408" in read_until(pump, caller, b"request_timeout")
