--- a/packages/cyclamentally-calls/cyclamentally_calls/calls.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/calls.py
@@ -16,12 +16,22 @@
         Headers sent to the upstream.
     """
 
-    __slots__ = ("exchange", "headers", "forwarding", "offered_at", "outgoing", "timer")
+    __slots__ = (
+        "counted_view",
+        "exchange",
+        "headers",
+        "forwarding",
+        "offered_at",
+        "outgoing",
+        "timer",
+    )
 
     def __init__(self, exchange, forwarding, headers):
         self.exchange = exchange
         self.forwarding = forwarding
         self.headers = headers
+        # The `UpstreamView` whose requests in flight include this one, if any.
+        self.counted_view = None
         self.offered_at = 0.0
         self.outgoing = None
         self.timer = None
--- a/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
@@ -32,12 +32,10 @@
     UpstreamReported,
 )
 from cyclamentally_calls.caller_codec import find_rule
-from cyclamentally_calls.calls import echo_of, request_id_of
-from cyclamentally_calls.client_connection import ConnectionPool
+from cyclamentally_calls.calls import request_id_of
 from cyclamentally_calls.feed_codec import FEED_TARGET
 from cyclamentally_calls.http_codec import Response
 from cyclamentally_calls.loop import Task
-from cyclamentally_calls.outgoing_request import OutgoingRequest
 from cyclamentally_calls.pacer import Pacer
 from cyclamentally_calls.peer_codec import (
     TICKET_HEADER,
@@ -51,23 +49,10 @@
     ServerConnection,
 )
 from cyclamentally_calls.stream import Listener
-from cyclamentally_calls.upstream_codec import (
-    classify_result,
-    decode_liveness,
-    encode_liveness,
-    encode_upstream_request,
-)
+from cyclamentally_calls.upstream_client import UpstreamClient
 from cyclamentally_calls.work import Work, WorkTable
 
 MS_PER_S = 1_000
-# Idle timeout of pooled connections if the upstream announces none; must be below
-# the 10 s after which upstreams close idle connections.
-IDLE_TIMEOUT_S = 8.0
-# The upstream is on the same host, so connecting takes no network round trip.
-CONNECT_TIMEOUT_S = 0.5
-# Timeout of the liveness check at start-up. If it fails, the node waits for the
-# upstream's first heartbeat.
-LIVENESS_TIMEOUT_S = 0.5
 # Heartbeat periods without a heartbeat after which the upstream counts as
 # unreachable; a smaller value reacts to single lost or late heartbeats.
 MAX_MISSED_HEARTBEATS = 3.5
@@ -106,6 +91,7 @@
     """
 
     __slots__ = (
+        "client",
         "connections",
         "counters",
         "feed",
@@ -118,7 +104,6 @@
         "number",
         "outbound",
         "pacer",
-        "pool",
         "publication",
         "store",
         "table",
@@ -137,7 +122,7 @@
         self.counters = counters
         self.log = log
         self.listener = Listener(loop, address, self._accept, log.listener_failed)
-        self.pool = ConnectionPool(loop, IDLE_TIMEOUT_S, CONNECT_TIMEOUT_S, 0.0, True)
+        self.client = UpstreamClient(loop, local_upstream, names, counters, log)
         self.pacer = Pacer(loop, gate.uplink)
         self.connections = set()
         self.works = WorkTable()
@@ -160,7 +145,7 @@
         for connection in list(self.connections):
             connection.fire("ended")
         self.pacer.close()
-        self.pool.close()
+        self.client.close()
 
     def receive(self, message):
         """Handle a message from another task."""
@@ -269,29 +254,11 @@
         self.table = table
         if not self.gate.has_routes:
             self.gate.on_routes_known()
-            self._check_liveness(table.services.get(self.local_upstream.service))
-
-    def _check_liveness(self, rule):
-        """Send one liveness check to learn the upstream's name and slots.
+            rule = table.services.get(self.local_upstream.service)
+            if rule is not None:
+                self.client.check_liveness(rule.health_path, self._handle_liveness)
 
-        A restarted node can then admit requests without waiting for the next
-        heartbeat. A draining upstream responds with an error status.
-        """
-        if rule is None:
-            return
-        address = self.local_upstream.address
-        data = encode_liveness(address, rule.health_path)
-        outgoing = OutgoingRequest(data, None, self._handle_liveness_result)
-        self.counters.add("probes_total")
-        self.pool.send(address, outgoing, self.loop.clock() + LIVENESS_TIMEOUT_S)
-
-    def _handle_liveness_result(self, result):
-        response = getattr(result, "response", None)
-        heartbeat = decode_liveness(response, self.local_upstream, self.names)
-        if heartbeat is None:
-            detail = getattr(result, "detail", "not 200, or no upstream name or slots")
-            self.log.write("liveness_check_failed", detail=detail)
-            return
+    def _handle_liveness(self, heartbeat):
         self._carry_out(self.gate.on_liveness_check(heartbeat, self.loop.clock()))
         self._publish()
 
@@ -305,7 +272,7 @@
             self._carry_out(self.gate.on_heartbeat(report, now))
         known = self.gate.heartbeat
         if before is not None and before.upstream != known.upstream:
-            self.pool.close_idle(before.address)
+            self.client.pool.close_idle(before.address)
         self._publish()
 
     def _publish(self):
@@ -334,41 +301,22 @@
     def _start_work(self, effect):
         work = self.works.by_number[effect.number]
         self.works.start(work)
-        left_s = work.ticket.expires - self.loop.clock()
-        heartbeat, names, request = effect.heartbeat, self.names, work.request
-        limit = max_body_bytes(find_rule(self.table, request))
-        data = encode_upstream_request(request, heartbeat.upstream, left_s, names)
-        work.outgoing = OutgoingRequest(
-            data,
-            echo_of(request, names),
-            lambda result: self._finish_work(work, result),
-            request.method == b"HEAD",
-            limit,
-        )
+        limit = max_body_bytes(find_rule(self.table, work.request))
         if work.is_repeat:
             self._report_repeat(work, is_running=True)
-        self.pool.send(heartbeat.address, work.outgoing, work.ticket.expires)
-
-    def _finish_work(self, work, result):
-        outcome = classify_result(result, self.names)
-        if isinstance(outcome, Refused):
-            if outcome.kind in (Kind.UPSTREAM_UNREACHABLE, Kind.UPSTREAM_LEFT):
-                self._mark_unreachable("unreachable")
-            self.counters.add("upstream_failures_total", outcome.kind)
-            self.log.write(
-                "upstream_failure",
-                id=work.request_id,
-                upstream=work.ticket.upstream,
-                kind=outcome.kind,
-                detail=outcome.detail,
-            )
+        self.client.send(work, effect.heartbeat, limit, self._finish_work)
+
+    def _finish_work(self, work, outcome):
+        kind = getattr(outcome, "kind", None)
+        if kind in (Kind.UPSTREAM_UNREACHABLE, Kind.UPSTREAM_LEFT):
+            self._mark_unreachable("unreachable")
         is_answered = isinstance(outcome, Done)
         if is_answered:
             size = len(outcome.value.body)
             self.gate.uplink.update_size(work.ticket.route, size)
             outcome = work.mark_if_final(outcome)
         now = self.loop.clock()
-        is_shed = getattr(outcome, "kind", None) == Kind.UPSTREAM_OVERLOADED
+        is_shed = kind == Kind.UPSTREAM_OVERLOADED
         effects = self.gate.finish(work.ticket.number, is_answered, now, is_shed)
         self._resolve(work, outcome)
         self._carry_out(effects)
--- a/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
@@ -273,10 +273,14 @@
             self.counters,
             self.log,
         )
-        outbound.gate = self.gate
+        outbound.offers.gate = self.gate
+        outbound.offers.store = self.store
         self.gate.outbound = outbound
         bodies = BodyBudget()
-        for pool in (outbound.pool, self.gate.pool, self.store.client.pool):
+        for pool in (
+            outbound.offers.pool,
+            self.gate.client.pool,
+            self.store.client.pool,
+        ):
             pool.bodies = bodies
-        outbound.store = self.store
         return outbound
--- a/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
@@ -1,8 +1,5 @@
 """The task that owns callers' connections and forwards their requests to gates."""
 
-from functools import partial
-
-from cyclamentally.body_budget import max_body_bytes
 from cyclamentally.errors import Done, Kind, Refused
 from cyclamentally.forwarding import OfferResult, no_upstream, time_over
 from cyclamentally.intake import Intake
@@ -11,13 +8,10 @@
 from cyclamentally_calls.call_events import (
     CallNotRetried,
     DrainConnections,
-    HostFailed,
     HostsReplaced,
     IdleQuery,
     IdleReply,
-    Offer,
     OfferDone,
-    OfferWithdrawn,
     RepeatedRunChanged,
     RoutesReplaced,
     ServiceChanged,
@@ -32,31 +26,16 @@
     Call,
     call_fields,
     count_response,
-    echo_of,
     refusal_fields,
     request_id_of,
 )
-from cyclamentally_calls.client_connection import ConnectionPool
 from cyclamentally_calls.http_codec import Response, end_to_end_headers
 from cyclamentally_calls.loop import Task
-from cyclamentally_calls.offer_codec import (
-    decode_offer_result,
-    encode_offer,
-    make_ticket,
-    with_headers,
-)
-from cyclamentally_calls.outcomes import Answered
-from cyclamentally_calls.outgoing_request import OutgoingRequest
+from cyclamentally_calls.offers import OfferSender
 from cyclamentally_calls.peer_codec import PEER_HEADERS, is_final
 from cyclamentally_calls.server_connection import RequestHandler, ServerConnection
 from cyclamentally_calls.stream import Listener
 
-# Allows for the longest round trip between regions (17 ms) and one lost SYN.
-CONNECT_TIMEOUT_S = 0.25
-# A host that acknowledges no data for this long is partitioned or powered off.
-ACK_TIMEOUT_S = 0.8
-# Half of the idle timeout that nodes apply to connections from other nodes.
-PEER_IDLE_TIMEOUT_S = 30.0
 FIRST_SERVER_ERROR = 500
 
 
@@ -92,8 +71,6 @@
         "calls",
         "connections",
         "counters",
-        "gate",
-        "host",
         "hosts",
         "intake",
         "limits",
@@ -101,11 +78,9 @@
         "log",
         "loop",
         "names",
-        "peer_address",
+        "offers",
         "upstreams",
-        "pool",
         "service",
-        "store",
         "table",
         "round_robin",
     )
@@ -124,8 +99,6 @@
         log,
     ):
         self.loop = loop
-        self.host = place.name
-        self.peer_address = place.address
         self.service = service
         self.names = names
         self.upstreams = upstreams
@@ -134,17 +107,13 @@
         self.counters = counters
         self.log = log
         self.listener = Listener(loop, address, self._accept, log.listener_failed)
-        self.pool = ConnectionPool(
-            loop, PEER_IDLE_TIMEOUT_S, CONNECT_TIMEOUT_S, ACK_TIMEOUT_S
-        )
+        self.offers = OfferSender(loop, place, names, self, self._handle_outcome)
         self.connections = set()
         self.limits = DEFAULT_LIMITS
         self.table = None
         self.hosts = {}
         self.calls = {}
         self.by_exchange = {}
-        self.gate = None
-        self.store = None
 
     def start(self):
         """Start to listen for callers."""
@@ -155,7 +124,7 @@
         self.listener.close()
         for connection in list(self.connections):
             connection.fire("ended")
-        self.pool.close()
+        self.offers.close()
 
     def receive(self, message):
         """Handle a message from another task."""
@@ -215,7 +184,7 @@
         call.forwarding.fire("caller_gone")
         self.counters.add("calls_abandoned_total")
         self.log.success("caller_gone", **self._log_fields(call))
-        self._withdraw(call)
+        self.offers.withdraw(call)
         self._remove(call)
 
     def on_closed(self, connection):
@@ -259,48 +228,13 @@
             self._finish(call, "no_place", refusal)
             return
         forwarding.fire("offered", view)
-        view.in_flight += 1
-        view.sent_since_load += 1
-        call.offered_at = now
-        self._offer(call, view, now)
-
-    def _offer(self, call, view, now):
-        forwarding = call.forwarding
-        request = call.exchange.request
-        ticket = make_ticket(forwarding, now, self.peer_address, self.table.version)
-        if view.entry.name == self.host:
-            offered = with_headers(request, call.headers)
-            self.loop.post(self.gate, Offer(forwarding.number, self, ticket, offered))
-            return
-        data = encode_offer(with_headers(request, call.headers), ticket)
-        on_outcome = partial(self._handle_peer_result, call)
-        call.outgoing = OutgoingRequest(
-            data,
-            echo_of(request, self.names),
-            on_outcome,
-            request.method == b"HEAD",
-            max_body_bytes(forwarding.rule),
-        )
-        self.pool.send(view.entry.address, call.outgoing, forwarding.expires)
-
-    def _handle_peer_result(self, call, result):
-        """Handle the response of another node's gate, or its failure."""
-        call.outgoing = None
-        if not isinstance(result, Answered):
-            self._suspect_host(call.forwarding.view)
-        outcome, load = decode_offer_result(result)
-        self._handle_outcome(call, outcome, load)
-
-    def _suspect_host(self, view):
-        """Eject a host that did not respond, and report it to the store task."""
-        view.fail(self.loop.clock())
-        self.loop.post(self.store, HostFailed(view.entry.name))
+        self.offers.send(call, self.table.version, now)
 
     def _handle_outcome(self, call, outcome, load):
         forwarding = call.forwarding
         view = forwarding.view
         now = self.loop.clock()
-        view.in_flight -= 1
+        self.offers.uncount(call)
         if load is not None:
             is_answered = isinstance(outcome, Done)
             view.update_load(load, forwarding.rule.name, now, is_answered)
@@ -346,9 +280,9 @@
         if forwarding.state == "offered":
             detail = f"{forwarding.view.entry.upstream.name}: deadline exceeded"
             refusal = Refused(Kind.UPSTREAM_TIMEOUT, detail)
-            self._withdraw(call)
+            self.offers.withdraw(call)
             if forwarding.view.is_silent_since(call.offered_at):
-                self._suspect_host(forwarding.view)
+                self.offers.suspect_host(forwarding.view)
         self._finish(call, "time_over", refusal)
 
     def _respond(self, call, response):
@@ -374,21 +308,10 @@
         now = self.loop.clock()
         return call_fields(call, self.table.version, now, self.names)
 
-    def _withdraw(self, call):
-        """Cancel the offer of a request that is in flight."""
-        forwarding = call.forwarding
-        if forwarding.view is not None:
-            forwarding.view.in_flight -= 1
-        if call.outgoing is not None:
-            call.outgoing.cancel()
-            call.outgoing = None
-        else:
-            self.loop.post(self.gate, OfferWithdrawn(forwarding.number))
-
     def _remove(self, call):
         if call.forwarding.lacked_budget:
             call_id = request_id_of(call.exchange.request, self.names)
-            self.loop.post(self.gate, CallNotRetried(call_id))
+            self.loop.post(self.offers.gate, CallNotRetried(call_id))
         call.timer.cancel()
         self.calls.pop(call.forwarding.number, None)
         self.by_exchange.pop(call.exchange, None)
