--- a/packages/cyclamentally-calls/cyclamentally_calls/control_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/control_task.py
@@ -12,12 +12,10 @@
     ShutdownStarted,
     UpstreamReported,
 )
+from cyclamentally_calls.exchange import RequestHandler
 from cyclamentally_calls.http_codec import Response
 from cyclamentally_calls.loop import Task
-from cyclamentally_calls.server_connection import (
-    RequestHandler,
-    ServerConnection,
-)
+from cyclamentally_calls.server_connection import ServerConnection
 from cyclamentally_calls.stream import Listener
 
 READINESS_EVENTS = {
--- a/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
@@ -33,6 +33,7 @@
 )
 from cyclamentally_calls.caller_codec import find_rule
 from cyclamentally_calls.calls import request_id_of
+from cyclamentally_calls.exchange import RequestHandler
 from cyclamentally_calls.feed_codec import FEED_TARGET
 from cyclamentally_calls.http_codec import Response
 from cyclamentally_calls.loop import Task
@@ -44,10 +45,7 @@
 )
 from cyclamentally_calls.peer_state import STATE_TARGET, state_response
 from cyclamentally_calls.requesters import LocalRequester, PeerRequester
-from cyclamentally_calls.server_connection import (
-    RequestHandler,
-    ServerConnection,
-)
+from cyclamentally_calls.server_connection import ServerConnection
 from cyclamentally_calls.stream import Listener
 from cyclamentally_calls.upstream_client import UpstreamClient
 from cyclamentally_calls.work import Work, WorkTable
--- a/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
@@ -29,11 +29,12 @@
     refusal_fields,
     request_id_of,
 )
+from cyclamentally_calls.exchange import RequestHandler
 from cyclamentally_calls.http_codec import Response, end_to_end_headers
 from cyclamentally_calls.loop import Task
 from cyclamentally_calls.offers import OfferSender
 from cyclamentally_calls.peer_codec import PEER_HEADERS, is_final
-from cyclamentally_calls.server_connection import RequestHandler, ServerConnection
+from cyclamentally_calls.server_connection import ServerConnection
 from cyclamentally_calls.stream import Listener
 
 FIRST_SERVER_ERROR = 500
--- a/packages/cyclamentally-calls/cyclamentally_calls/server_connection.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/server_connection.py
@@ -1,10 +1,10 @@
 """The server side of an HTTP/1.1 connection, with pipelining."""
 
-from abc import ABC, abstractmethod
 from collections import deque
 
 from cyclamentally.chart import runs_chart
 from cyclamentally.errors import Kind, Refused
+from cyclamentally_calls.exchange import Exchange
 from cyclamentally_calls.http_codec import CONTINUE, RequestParser, encode_response
 from cyclamentally_calls.stream import Stream, StreamOwner
 
@@ -19,62 +19,6 @@
 LINGER_S = 1.0
 
 
-class RequestHandler(ABC):
-    """The task that handles the requests of a connection."""
-
-    __slots__ = ()
-
-    @abstractmethod
-    def on_request(self, exchange):
-        """Handle a complete request; ``exchange.respond`` sends its response."""
-
-    @abstractmethod
-    def on_disconnect(self, exchange):
-        """Handle that the client disconnected before the response was ready."""
-
-    @abstractmethod
-    def refuse(self, request, refusal):
-        """Return the `Response` to a refused request."""
-
-    @abstractmethod
-    def may_run_concurrently(self, request):
-        """Whether a request may start before earlier ones of its connection end."""
-
-    @abstractmethod
-    def on_closed(self, connection):
-        """Handle that a connection was closed."""
-
-
-class Exchange:
-    """One request on a connection and its response.
-
-    Parameters
-    ----------
-    connection : ServerConnection
-        Connection of the request.
-    request : Request or None
-        The request; None if it could not be parsed.
-    arrived : float
-        Time of arrival, in seconds.
-    """
-
-    __slots__ = ("response", "arrived", "closes", "connection", "is_started", "request")
-
-    def __init__(self, connection, request, arrived):
-        self.connection = connection
-        self.request = request
-        self.arrived = arrived
-        self.response = None
-        self.closes = False
-        self.is_started = False
-
-    def respond(self, response):
-        """Send the response once all earlier ones have been sent."""
-        if self.response is None:
-            self.response = response
-            self.connection.flush()
-
-
 @runs_chart("caller_connection", "cyclamentally_calls.charts")
 class ServerConnection(StreamOwner):
     """Read requests and send responses in order; runs ``caller_connection``.
--- a/packages/cyclamentally-calls/cyclamentally_calls/tests/conftest.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/tests/conftest.py
@@ -5,13 +5,11 @@
 
 from cyclamentally.routes import CallerLimits
 from cyclamentally_calls.client_connection import ConnectionPool
+from cyclamentally_calls.exchange import RequestHandler
 from cyclamentally_calls.http_codec import Response
 from cyclamentally_calls.loop import Loop
 from cyclamentally_calls.outgoing_request import OutgoingRequest
-from cyclamentally_calls.server_connection import (
-    RequestHandler,
-    ServerConnection,
-)
+from cyclamentally_calls.server_connection import ServerConnection
 from cyclamentally_calls.stream import Listener
 
 WAIT_S = 5.0
--- a/packages/cyclamentally-node/cyclamentally_node/calls_task.py
+++ b/packages/cyclamentally-node/cyclamentally_node/calls_task.py
@@ -14,9 +14,10 @@
 from cyclamentally.retries import Failure, RequestAttempts, no_route
 from cyclamentally.snapshot import EMPTY_SNAPSHOT
 from cyclamentally_calls.client_connection import ConnectionPool
+from cyclamentally_calls.exchange import RequestHandler
 from cyclamentally_calls.loop import Task
 from cyclamentally_calls.outgoing_request import OutgoingRequest
-from cyclamentally_calls.server_connection import RequestHandler, ServerConnection
+from cyclamentally_calls.server_connection import ServerConnection
 from cyclamentally_calls.stream import Listener
 from cyclamentally_node.caller_request import (
     IDEMPOTENT_METHODS,
