--- a/packages/cyclamentally-calls/cyclamentally_calls/server_connection.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/server_connection.py
@@ -210,7 +210,8 @@
     def _start_exchanges(self):
         """Start the first request and the following ones that may run concurrently."""
         for position, exchange in enumerate(list(self.exchanges)):
-            if position >= MAX_CONCURRENT_REQUESTS:
+            is_unreadable = exchange.request is None
+            if is_unreadable or position >= MAX_CONCURRENT_REQUESTS:
                 return
             may_run_concurrently = self.handler.may_run_concurrently(exchange.request)
             if not exchange.is_started:
--- a/packages/cyclamentally-calls/cyclamentally_calls/tests/test_server_connection.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/tests/test_server_connection.py
@@ -201,3 +201,12 @@
         listener.close()
         assert len(accepted) == 1
         accepted[0].close()
+
+
+def test_request_is_answered_if_malformed_bytes_follow_it(caller, handler, pump):
+    caller.send(get(b"/1") + b"malformed\r\n\r\n")
+    pump.until(lambda: handler.exchanges)
+    pump.for_s(0.05)
+    handler.exchanges[0].respond(response(b"one"))
+    data = read_until(pump, caller, b"bad_request")
+    assert data.index(b"one") < data.index(b"HTTP/1.1 400")
