--- /dev/null
+++ b/packages/cyclamentally-calls/cyclamentally_calls/accepted_connections.py
@@ -0,0 +1,104 @@
+"""The listener of a task and the connections that it has accepted."""
+
+from cyclamentally_calls.calls import request_id_of
+from cyclamentally_calls.server_connection import ServerConnection
+from cyclamentally_calls.stream import Listener
+
+
+class AcceptedConnections:
+    """Owns the listener and the accepted connections of a task.
+
+    Parameters
+    ----------
+    loop : Loop
+        Event loop.
+    address : str
+        ``IP:port`` to listen on.
+    handler : RequestHandler
+        Task that handles the requests.
+    limits : CallerLimits
+        Limits for the clients.
+    counters : Counters
+        Metrics.
+    log : DecisionLog
+        Structured log.
+    pacer : Pacer, optional
+        Paces the responses.
+    """
+
+    __slots__ = (
+        "counters",
+        "handler",
+        "limits",
+        "listener",
+        "log",
+        "loop",
+        "opened",
+        "pacer",
+    )
+
+    def __init__(self, loop, address, handler, limits, counters, log, pacer=None):
+        self.loop = loop
+        self.handler = handler
+        self.limits = limits
+        self.counters = counters
+        self.log = log
+        self.pacer = pacer
+        self.opened = set()
+        self.listener = Listener(loop, address, self._accept, log.listener_failed)
+
+    def start(self):
+        """Start to listen."""
+        self.listener.start()
+
+    def close(self):
+        """Close all sockets; requests without a response are logged."""
+        self.listener.close()
+        self._log_unfinished()
+        for connection in list(self.opened):
+            connection.fire("ended")
+
+    def replace_limits(self, limits):
+        """Apply other limits to present and later connections."""
+        self.limits = limits
+        for connection in self.opened:
+            connection.limits = limits
+
+    def drain(self):
+        """Accept no more connections; close each after the requests it has sent."""
+        self.listener.close()
+        for connection in list(self.opened):
+            connection.drain()
+
+    def has_unsent(self):
+        """Whether bytes of a response have not been sent yet."""
+        return any(connection.has_unsent() for connection in self.opened)
+
+    def remove(self, connection):
+        """Remove a closed connection."""
+        self.opened.discard(connection)
+
+    def _accept(self, accepted):
+        connection = ServerConnection(
+            self.loop, accepted, self.handler, self.limits, self.pacer
+        )
+        self.opened.add(connection)
+
+    def _log_unfinished(self):
+        """Log what ends with the connections, for the trace of a planned stop."""
+        cut = [e for c in self.opened for e in c.exchanges if e.is_unanswered()]
+        for exchange in cut:
+            self.counters.add("requests_cut_total", self.listener.address)
+            request_id = request_id_of(exchange.request, self.handler.names)
+            self.log.write("request_cut", id=request_id)
+        unread = [c for c in self.opened if c.stream.has_input()]
+        self.log.write(
+            "connections_closed",
+            address=self.listener.address,
+            open=len(self.opened),
+            cut=len(cut),
+            reading=sum(c.parser.in_message for c in self.opened),
+            unread=len(unread),
+            unsent=sum(c.has_unsent() for c in self.opened),
+            lingering=sum(c.state == "lingering" for c in self.opened),
+        )
--- a/packages/cyclamentally-calls/cyclamentally_calls/exchange.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/exchange.py
@@ -52,6 +52,10 @@
         self.closes = False
         self.is_started = False
 
+    def is_unanswered(self):
+        """Whether the handler has the request and has not responded yet."""
+        return self.is_started and self.response is None
+
     def respond(self, response):
         """Send the response once all earlier ones have been sent."""
         if self.response is None:
--- a/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
@@ -13,6 +13,7 @@
 )
 from cyclamentally.publication import Publication
 from cyclamentally.routes import CallerLimits
+from cyclamentally_calls.accepted_connections import AcceptedConnections
 from cyclamentally_calls.call_events import (
     CallNotRetried,
     FeedRequest,
@@ -45,8 +46,6 @@
 )
 from cyclamentally_calls.peer_state import STATE_TARGET, state_response
 from cyclamentally_calls.requesters import LocalRequester, PeerRequester
-from cyclamentally_calls.server_connection import ServerConnection
-from cyclamentally_calls.stream import Listener
 from cyclamentally_calls.upstream_client import UpstreamClient
 from cyclamentally_calls.work import Work, WorkTable
 
@@ -94,7 +93,6 @@
         "counters",
         "feed",
         "gate",
-        "listener",
         "log",
         "loop",
         "names",
@@ -119,10 +117,11 @@
         self.store = store
         self.counters = counters
         self.log = log
-        self.listener = Listener(loop, address, self._accept, log.listener_failed)
         self.client = UpstreamClient(loop, local_upstream, names, counters, log)
         self.pacer = Pacer(loop, gate.uplink)
-        self.connections = set()
+        self.connections = AcceptedConnections(
+            loop, address, self, PEER_LIMITS, counters, log, self.pacer
+        )
         self.works = WorkTable()
         self.number = 0
         self.publication = Publication()
@@ -133,15 +132,13 @@
 
     def start(self):
         """Start to listen for other nodes and to check the gate periodically."""
-        self.listener.start()
+        self.connections.start()
         self.timer = self.loop.call_after(TICK_S, self._tick)
 
     def close(self):
         """Close all sockets."""
         self.timer.cancel()
-        self.listener.close()
-        for connection in list(self.connections):
-            connection.fire("ended")
+        self.connections.close()
         self.pacer.close()
         self.client.close()
 
@@ -165,7 +162,7 @@
         elif isinstance(message, ServiceChanged):
             self.local_upstream.service = message.service
         elif isinstance(message, IdleQuery):
-            unsent = any(c.has_unsent() for c in self.connections)
+            unsent = self.connections.has_unsent()
             self.loop.post(message.sender, IdleReply(not self.works and not unsent))
         elif isinstance(message, ShutdownStarted):
             self._carry_out(self.gate.stop())
@@ -198,7 +195,7 @@
 
     def on_closed(self, connection):
         """Remove a closed connection."""
-        self.connections.discard(connection)
+        self.connections.remove(connection)
 
     def may_run_concurrently(self, request):
         """Return False: nodes do not pipeline requests."""
@@ -209,12 +206,6 @@
         self.counters.add("peer_requests_refused_total", refusal.kind)
         return Response(refusal.answer.status, [encode_refusal(refusal)], b"")
 
-    def _accept(self, accepted):
-        connection = ServerConnection(
-            self.loop, accepted, self, PEER_LIMITS, self.pacer
-        )
-        self.connections.add(connection)
-
     # Admission.
 
     def _admit(self, requester, peer_ticket, request):
--- a/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
@@ -5,6 +5,7 @@
 from cyclamentally.intake import Intake
 from cyclamentally.placing import pause_for_refusal
 from cyclamentally.routes import DEFAULT_LIMITS
+from cyclamentally_calls.accepted_connections import AcceptedConnections
 from cyclamentally_calls.call_events import (
     CallNotRetried,
     DrainConnections,
@@ -34,8 +35,6 @@
 from cyclamentally_calls.loop import Task
 from cyclamentally_calls.offers import OfferSender
 from cyclamentally_calls.peer_codec import PEER_HEADERS, is_final
-from cyclamentally_calls.server_connection import ServerConnection
-from cyclamentally_calls.stream import Listener
 
 FIRST_SERVER_ERROR = 500
 
@@ -74,8 +73,6 @@
         "counters",
         "hosts",
         "intake",
-        "limits",
-        "listener",
         "log",
         "loop",
         "names",
@@ -107,10 +104,10 @@
         self.intake = Intake(budget_rule)
         self.counters = counters
         self.log = log
-        self.listener = Listener(loop, address, self._accept, log.listener_failed)
+        self.connections = AcceptedConnections(
+            loop, address, self, DEFAULT_LIMITS, counters, log
+        )
         self.offers = OfferSender(loop, place, names, self, self._handle_outcome)
-        self.connections = set()
-        self.limits = DEFAULT_LIMITS
         self.table = None
         self.hosts = {}
         self.calls = {}
@@ -118,13 +115,11 @@
 
     def start(self):
         """Start to listen for callers."""
-        self.listener.start()
+        self.connections.start()
 
     def close(self):
         """Close all sockets."""
-        self.listener.close()
-        for connection in list(self.connections):
-            connection.fire("ended")
+        self.connections.close()
         self.offers.close()
 
     def receive(self, message):
@@ -142,11 +137,9 @@
         elif isinstance(message, ServiceChanged):
             self.service = message.service
         elif isinstance(message, DrainConnections):
-            self.listener.close()
-            for connection in list(self.connections):
-                connection.drain()
+            self.connections.drain()
         elif isinstance(message, IdleQuery):
-            unsent = any(c.has_unsent() for c in self.connections)
+            unsent = self.connections.has_unsent()
             self.loop.post(message.sender, IdleReply(not self.calls and not unsent))
 
     # Requests from callers.
@@ -190,7 +183,7 @@
 
     def on_closed(self, connection):
         """Remove a closed connection."""
-        self.connections.discard(connection)
+        self.connections.remove(connection)
 
     def may_run_concurrently(self, request):
         """Return whether a request may run twice, or is refused without running."""
@@ -204,16 +197,10 @@
         self.counters.add("requests_refused_total", refusal.kind)
         return refusal_response(request, refusal, self.names)
 
-    def _accept(self, accepted):
-        connection = ServerConnection(self.loop, accepted, self, self.limits)
-        self.connections.add(connection)
-
     def _replace_routes(self, table):
         self.table = table
         self.round_robin.reset()
-        self.limits = table.limits
-        for connection in self.connections:
-            connection.limits = self.limits
+        self.connections.replace_limits(table.limits)
 
     def _dispatch(self, call):
         """Offer a request to the upstream that load balancing chooses."""
--- a/packages/cyclamentally-calls/cyclamentally_calls/process_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/process_task.py
@@ -108,7 +108,8 @@
         before = self.shutdown.state
         effects = self.shutdown.fire(event)
         if self.shutdown.state != before:
-            self.log.write("state", subject="process", state=self.shutdown.state)
+            state = self.shutdown.state
+            self.log.write("state", subject="process", state=state, reason=event)
         for effect in effects:
             self._carry_out(effect)
 
