--- a/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
@@ -241,6 +241,7 @@
 
     def _apply_routes(self, table):
         self.table = table
+        self.gate.uplink.downloads = table.downloads
         if not self.gate.has_routes:
             self.gate.on_routes_known()
             rule = table.services.get(self.local_upstream.service)
--- a/packages/cyclamentally/cyclamentally/routes.py
+++ b/packages/cyclamentally/cyclamentally/routes.py
@@ -154,6 +154,12 @@
         self.services = services
         self.limits = limits
 
+    @property
+    def downloads(self):
+        """Names of the routes that serve downloads."""
+        rules = (rule for rules in self.rules.values() for rule in rules.values())
+        return frozenset(r.name for r in rules if r.kind == RequestKind.DOWNLOAD)
+
     def find(self, host, path):
         """Return the rule with the longest prefix of a path, or None.
 
--- a/packages/cyclamentally/cyclamentally/tests/test_uplink.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_uplink.py
@@ -153,6 +153,28 @@
     return in_time / offered, len(finished) / offered
 
 
+@pytest.fixture
+def restarted(gate):
+    """A gate whose node has just started and has measured nothing yet."""
+    gate.uplink = Uplink(LINK_BYTES_PER_S)
+    gate.uplink.downloads = frozenset(["bundle"])
+    return gate
+
+
+def test_restarted_gate_does_not_queue_downloads_beyond_the_link(restarted):
+    found = [kinds(restarted.admit(ticket(n, 0.0), 0.0)) for n in range(8)]
+    accepted = found.count([])
+    assert accepted > 1
+    assert (accepted + 1) * DOWNLOAD_LINK_TIME_S + SERVICE_TIME_S <= TARGET_S
+    assert found[accepted:] == [[Kind.LINK_FULL]] * (8 - accepted)
+
+
+def test_first_measured_size_replaces_the_estimate(restarted):
+    restarted.uplink.update_size("bundle", LARGE_ANSWER_BYTES / 4)
+    found = [kinds(restarted.admit(ticket(n, 0.0), 0.0)) for n in range(5)]
+    assert found == [[]] * 5
+
+
 def test_at_twice_the_link_half_of_the_downloads_are_in_time(gate, uplink):
     in_time, served = simulate_downloads(gate, uplink, 2 / DOWNLOAD_LINK_TIME_S)
     assert in_time > 0.4
--- a/packages/cyclamentally/cyclamentally/uplink.py
+++ b/packages/cyclamentally/cyclamentally/uplink.py
@@ -13,6 +13,8 @@
 # Time constant of the average rate of small answers.
 SMALL_RATE_WINDOW_S = 2.0
 SIZE_EWMA_WEIGHT = 0.15
+# Size of a download until one has been measured.
+USUAL_DOWNLOAD_BYTES = 90_000
 # Bounds the memory for sizes; configurations have up to 2,000 routes.
 MAX_KNOWN_ROUTES = 256
 # This delay is accepted even if the target is missed, so that an idle link takes
@@ -30,6 +32,7 @@
     """
 
     __slots__ = (
+        "downloads",
         "queued_bytes",
         "usable_bytes_per_s",
         "reserved_bytes",
@@ -48,6 +51,8 @@
         # Expected size of each admitted request's answer, by request number.
         self.reserved_bytes = {}
         self.mean_sizes = {}
+        # Names of the routes that serve downloads.
+        self.downloads = frozenset()
 
     def update_size(self, route, size):
         """Update a route's mean answer size, in bytes."""
@@ -58,6 +63,19 @@
             return
         self.mean_sizes[route] = known + SIZE_EWMA_WEIGHT * (size - known)
 
+    def expected_size(self, route):
+        """Return the expected size of a route's answer, in bytes.
+
+        A node that has just started knows no sizes; without an estimate, it would
+        admit more downloads than the link carries.
+        """
+        known = self.mean_sizes.get(route)
+        if known is not None:
+            return known
+        if route not in self.downloads:
+            return 0.0
+        return float(USUAL_DOWNLOAD_BYTES)
+
     def note_small_answer(self, size, now):
         """Count a small answer, which is sent before the large ones."""
         kept = exp((self.small_updated_at - now) / SMALL_RATE_WINDOW_S)
@@ -69,17 +87,17 @@
     def reserve(self, number, route):
         """Reserve the link for the answer to a request, if it will be large."""
         if self.is_large(route):
-            self.reserved_bytes[number] = self.mean_sizes[route]
+            self.reserved_bytes[number] = self.expected_size(route)
 
     def release(self, number):
         """Drop the reservation of a request."""
         self.reserved_bytes.pop(number, None)
 
     def is_large(self, route):
-        """Whether the mean answer of a route is large."""
+        """Whether the expected answer of a route is large."""
         return (
             self.usable_bytes_per_s is not None
-            and self.mean_sizes.get(route, 0.0) >= LARGE_ANSWER_BYTES
+            and self.expected_size(route) >= LARGE_ANSWER_BYTES
         )
 
     def delay(self, route):
@@ -94,7 +112,7 @@
             MIN_LARGE_SHARE * self.usable_bytes_per_s,
             self.usable_bytes_per_s - self.small_bytes_per_s,
         )
-        return (ahead + self.mean_sizes[route]) / left
+        return (ahead + self.expected_size(route)) / left
 
     def would_miss_target(self, route, left_s):
         """Whether one more answer would miss its target because of the link.
@@ -111,5 +129,5 @@
         delay = self.delay(route)
         if delay == 0.0:
             return False
-        passed_on_s = self.mean_sizes[route] / self.usable_bytes_per_s
+        passed_on_s = self.expected_size(route) / self.usable_bytes_per_s
         return delay + passed_on_s > max(left_s, MIN_ALLOWED_DELAY_S + passed_on_s)
