--- a/packages/cyclamentally-calls/cyclamentally_calls/entry_codec.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/entry_codec.py
@@ -1,14 +1,22 @@
 """Encoding of host entries in the store."""
 
-from msgspec import DecodeError
-from msgspec.json import decode, encode
+from msgspec.json import encode
 
 from cyclamentally.hosts import HostEntry, UpstreamEntry
+from cyclamentally_calls.decoding import (
+    InvalidDataError,
+    decode_json,
+    has_fields,
+    is_address,
+    is_boolean,
+    is_integer,
+    is_name,
+    is_slots,
+)
 
-HOST_FIELDS = (str, str, str, str, list)
 # The start of a lifetime follows in entries of upstreams that are leaving.
-UPSTREAM_FIELDS = (str, str, int, bool)
-UPSTREAM_FIELDS_WITH_START = (*UPSTREAM_FIELDS, int)
+UPSTREAM_FIELDS = (is_name, is_name, is_slots, is_boolean)
+UPSTREAM_FIELDS_WITH_START = (*UPSTREAM_FIELDS, is_integer)
 
 
 def encode_entry(entry):
@@ -23,18 +31,17 @@
 def decode_entry(value):
     """Return the `HostEntry` of stored bytes, or None if they are invalid."""
     try:
-        host = decode(value)
-    except (DecodeError, UnicodeDecodeError):
+        host = decode_json(value)
+    except InvalidDataError:
         return None
-    if not _has_types(host, HOST_FIELDS):
-        return None
-    forms = (UPSTREAM_FIELDS, UPSTREAM_FIELDS_WITH_START)
-    if not any(_has_types(host[-1], form) for form in forms):
+    if not has_fields(host, HOST_FIELDS):
         return None
     return HostEntry(*host[:-1], UpstreamEntry(*host[-1]))
 
 
-def _has_types(values, types):
-    if not isinstance(values, list) or len(values) != len(types):
-        return False
-    return all(isinstance(v, t) for v, t in zip(values, types, strict=True))
+def _is_upstream(value):
+    forms = (UPSTREAM_FIELDS, UPSTREAM_FIELDS_WITH_START)
+    return any(has_fields(value, form) for form in forms)
+
+
+HOST_FIELDS = (is_name, is_name, is_name, is_address, _is_upstream)
--- a/packages/cyclamentally-calls/cyclamentally_calls/feed_codec.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/feed_codec.py
@@ -1,13 +1,20 @@
 """Encoding of the changes that a relay passes on to the nodes that follow it."""
 
+from typing import Annotated
 from zlib import compress, decompressobj
 from zlib import error as ZlibError  # noqa: N812
 
-from msgspec import DecodeError
-from msgspec.msgpack import decode, encode
+from msgspec import Meta
+from msgspec.msgpack import encode
 
 from cyclamentally.feed_log import FeedUpdate
 from cyclamentally.store_outcomes import RemovedKey, StoredItem
+from cyclamentally_calls.decoding import (
+    MAX_INTEGER,
+    InvalidDataError,
+    decode_msgpack,
+    parse_digits,
+)
 
 FEED_TARGET = b"/cyclamentally-peer/feed?after="
 # Configurations compress to about an eighth; higher levels gain little more.
@@ -32,9 +39,8 @@
         Expected number of revisions.
     """
     texts = target.removeprefix(FEED_TARGET).split(b",")
-    if len(texts) != count or not all(text.isdigit() for text in texts):
-        return None
-    return tuple(int(text) for text in texts)
+    revisions = tuple(parse_digits(text) for text in texts)
+    return None if len(texts) != count or None in revisions else revisions
 
 
 def encode_updates(updates):
@@ -56,8 +62,8 @@
     unpacker = decompressobj()
     try:
         data = unpacker.decompress(body, MAX_BODY_BYTES)
-        rows = decode(data, type=list[tuple[str, int, bool, list[_Row]]])
-    except (ZlibError, DecodeError, UnicodeDecodeError):
+        rows = decode_msgpack(data, list[tuple[str, _Revision, bool, list[_Row]]])
+    except (ZlibError, InvalidDataError):
         return None
     return [
         FeedUpdate(prefix, revision, is_listing, [_decode_row(row) for row in changes])
@@ -65,7 +71,8 @@
     ]
 
 
-_Row = tuple[str, bytes | None, int]
+_Revision = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
+_Row = tuple[str, bytes | None, _Revision]
 
 
 def _decode_row(row):
--- a/packages/cyclamentally-calls/cyclamentally_calls/peer_codec.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/peer_codec.py
@@ -1,10 +1,18 @@
 """Headers that nodes exchange in offers and their responses."""
 
-from msgspec import DecodeError
-from msgspec.json import decode, encode
+from msgspec.json import encode
 
 from cyclamentally.errors import Kind, Refused
 from cyclamentally.gate_messages import Load
+from cyclamentally_calls.decoding import (
+    InvalidDataError,
+    decode_json,
+    has_fields,
+    is_integer,
+    is_signed_integer,
+    is_slots,
+    is_text,
+)
 from cyclamentally_calls.http_codec import Response
 
 TICKET_HEADER = b"Cyclamentally-Ticket"
@@ -18,9 +26,15 @@
 )
 REFUSED_STATUS = 503
 MS_PER_S = 1_000
-# Number of fields that every ticket has. A later build may add fields; the first of
-# them is present only in tickets of repeats.
-TICKET_FIELDS = 8
+# Fields that every ticket has. A later build may add fields; the first of them is
+# present only in tickets of repeats.
+TICKET_FIELDS = (
+    *(is_text, is_text, is_text),
+    *(is_integer, is_signed_integer, is_integer),
+    *(is_text, is_integer),
+)
+KINDS = frozenset(Kind)
+LOAD_FIELDS = (is_integer, is_integer, is_slots, is_integer)
 
 
 class PeerTicket:
@@ -98,20 +112,10 @@
 
 def decode_ticket(value):
     """Return the `PeerTicket` of a header value, or None if it is invalid."""
-    try:
-        fields = decode(value)
-    except DecodeError:
-        return None
-    if not isinstance(fields, list) or len(fields) < TICKET_FIELDS:
-        return None
-    upstream, service, route, priority, target_ms, left_ms, sender, version = fields[
-        :TICKET_FIELDS
-    ]
-    if not all(isinstance(text, str) for text in (upstream, service, route, sender)):
-        return None
-    numbers = (priority, target_ms, left_ms, version)
-    if not all(isinstance(number, int) for number in numbers):
+    fields, others = _split_fields(value, len(TICKET_FIELDS))
+    if not has_fields(fields, TICKET_FIELDS):
         return None
+    upstream, service, route, priority, target_ms, left_ms, sender, version = fields
     return PeerTicket(
         upstream,
         service,
@@ -121,7 +125,7 @@
         left_ms / MS_PER_S,
         sender,
         version,
-        fields[TICKET_FIELDS:][:1] == [True],
+        others[:1] == [True],
     )
 
 
@@ -136,12 +140,12 @@
 
     An invalid value becomes a refusal after which the request may have run.
     """
-    try:
-        kind, detail, wait_ms = decode(value)
-        wait = None if wait_ms is None else wait_ms / MS_PER_S
-        return Refused(Kind(kind), str(detail), wait)
-    except (DecodeError, ValueError, TypeError):
+    fields, _ = _split_fields(value, len(REFUSAL_FIELDS))
+    if not has_fields(fields, REFUSAL_FIELDS):
         return Refused(Kind.UPSTREAM_FAILED, "invalid refusal header from the gate")
+    kind, detail, wait_ms = fields
+    wait = None if wait_ms is None else wait_ms / MS_PER_S
+    return Refused(Kind(kind), detail, wait)
 
 
 def mark_final(response):
@@ -166,10 +170,33 @@
 
 def decode_load(value):
     """Return the `Load` of a header value, or None if it is invalid."""
-    try:
-        busy, waiting, slots, service_ms, *others = decode(value)
-        shed_share = float(others[0]) if others else 0.0
-        service_time_s = service_ms / MS_PER_S
-        return Load(int(busy), int(waiting), int(slots), service_time_s, shed_share)
-    except (DecodeError, ValueError, TypeError):
+    fields, others = _split_fields(value, len(LOAD_FIELDS))
+    shed_share = others[0] if others else 0.0
+    if not (has_fields(fields, LOAD_FIELDS) and _is_share(shed_share)):
         return None
+    busy, waiting, slots, service_ms = fields
+    return Load(busy, waiting, slots, service_ms / MS_PER_S, shed_share)
+
+
+def _split_fields(value, count):
+    """Return the first fields of an encoded list, and the others; empty if invalid."""
+    try:
+        fields = decode_json(value)
+    except InvalidDataError:
+        return [], []
+    return (fields[:count], fields[count:]) if isinstance(fields, list) else ([], [])
+
+
+def _is_kind(value):
+    return is_text(value) and value in KINDS
+
+
+def _is_wait(value):
+    return value is None or is_signed_integer(value)
+
+
+def _is_share(value):
+    return isinstance(value, int | float) and 0 <= value <= 1
+
+
+REFUSAL_FIELDS = (_is_kind, is_text, _is_wait)
--- a/packages/cyclamentally-calls/cyclamentally_calls/peer_state.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/peer_state.py
@@ -1,13 +1,18 @@
 """State that a node serves to peers that cannot reach the store."""
 
 from base64 import b64decode, b64encode
-from binascii import Error as Base64Error
 
-from msgspec import DecodeError
-from msgspec.json import decode, encode
+from msgspec.json import encode
 
 from cyclamentally.records import Record
 from cyclamentally.store_outcomes import StoredItem
+from cyclamentally_calls.decoding import (
+    InvalidDataError,
+    decode_json,
+    has_fields,
+    is_integer,
+    is_text,
+)
 from cyclamentally_calls.entry_codec import decode_entry, encode_entry
 from cyclamentally_calls.http_codec import Response
 from cyclamentally_calls.peer_codec import REFUSED_STATUS
@@ -48,15 +53,24 @@
 
 
 def decode_state(body):
-    """Return the `PeerState` of bytes, or None if they are invalid."""
+    """Return the `PeerState` of bytes, or None if they are invalid.
+
+    Invalid hosts are skipped.
+    """
     try:
-        content = decode(body)
+        content = decode_json(body)
+        key, revision, rows = (content[name] for name in ("key", "revision", "hosts"))
         value = b64decode(content["value"], validate=True)
-        item = StoredItem(content["key"], value, int(content["revision"]))
-        hosts = [(decode_entry(text), int(r)) for text, r in content["hosts"]]
-    except (DecodeError, Base64Error, KeyError, TypeError, ValueError):
+    except (InvalidDataError, KeyError, TypeError, ValueError):
+        return None
+    if not has_fields([key, revision], (is_text, is_integer)):
+        return None
+    if not isinstance(rows, list):
         return None
-    return PeerState(item, [pair for pair in hosts if pair[0] is not None])
+    valid = (row for row in rows if has_fields(row, (is_text, is_integer)))
+    hosts = [(decode_entry(text), r) for text, r in valid]
+    known = [pair for pair in hosts if pair[0] is not None]
+    return PeerState(StoredItem(key, value, revision), known)
 
 
 def state_response(body):
