--- a/packages/cyclamentally-calls/cyclamentally_calls/stream.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/stream.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 from errno import EINPROGRESS
+from os import strerror
 from select import EPOLLIN, EPOLLOUT
 from socket import (
     AF_INET,
@@ -21,6 +22,7 @@
     socket,
 )
 
+from cyclamentally_calls.decoding import parse_address
 from cyclamentally_calls.loop import ERROR_EVENTS
 
 # Size of the buffer that each read allocates.
@@ -315,20 +317,66 @@
             self.loop.watch(self.socket.fileno(), EPOLLIN, self._accept)
 
 
+class UnopenedStream(Stream):
+    """A connection that could not be opened; ends with the next timers of the loop.
+
+    Parameters
+    ----------
+    loop : Loop
+        Event loop.
+    owner : StreamOwner
+        Receiver of the end.
+    reason : str
+        Why it could not be opened.
+    """
+
+    __slots__ = ("timer",)
+
+    def __init__(self, loop, owner, reason):
+        self.loop = loop
+        self.owner = owner
+        self.is_connected = False
+        self.is_open = True
+        self.is_half_closed = False
+        self.unsent = bytearray()
+        self.paced_bytes = 0
+        self.sent_bytes = 0
+        # The owner does not have the stream yet.
+        self.timer = loop.call_after(0, lambda: self._end(reason))
+
+    def set_ack_timeout(self, timeout_s):
+        """Do nothing: no bytes are sent."""
+
+    def close(self):
+        """Prevent the notification of the owner."""
+        self.is_open = False
+        self.timer.cancel()
+
+
 def connect(loop, address, owner):
-    """Start to connect to ``IP:port``; returns the `Stream`."""
-    connection = socket(AF_INET, SOCK_STREAM)
-    connection.setblocking(False)
-    connection.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
-    error = connection.connect_ex(split_address(address))
-    stream = Stream(loop, connection, owner, is_connected=False)
-    if error not in (0, EINPROGRESS):
-        # Reported from the loop, since the owner does not have the stream yet.
-        loop.call_after(0, lambda: stream._end(f"connect failed: errno {error}"))
-    return stream
+    """Start to connect to ``IP:port``; returns the `Stream`.
+
+    An address that is invalid or cannot be reached ends the stream later.
+    """
+    target = parse_address(address)
+    if target is None:
+        return UnopenedStream(loop, owner, "not an IP:port to connect to")
+    connection = None
+    try:
+        connection = socket(AF_INET, SOCK_STREAM)
+        connection.setblocking(False)
+        connection.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+        error = connection.connect_ex(target)
+        if error not in (0, EINPROGRESS):
+            raise OSError(error, strerror(error))
+        return Stream(loop, connection, owner, is_connected=False)
+    except OSError as error:
+        if connection is not None:
+            connection.close()
+        return UnopenedStream(loop, owner, str(error))
 
 
 def split_address(address):
-    """Return the host and the port of ``IP:port``."""
+    """Return the host and the port of the ``IP:port`` of a listener."""
     host, _, port = address.rpartition(":")
     return host, int(port)
--- a/packages/cyclamentally-testing/cyclamentally_testing/odd_values.py
+++ b/packages/cyclamentally-testing/cyclamentally_testing/odd_values.py
@@ -30,6 +30,29 @@
     "digits that are not ASCII": '"r²١"'.encode(),
     "5000 digits in a text": b'"r' + b"9" * 5_000 + b'"',
 }
+# Texts in place of an ``IP:port``; a host name must not be looked up.
+INVALID_ADDRESSES = [
+    "",
+    ":",
+    ":80",
+    "127.0.0.1",
+    "127.0.0.1:",
+    "127.0.0.1:0",
+    "127.0.0.1:65536",
+    "127.0.0.1:" + "9" * 5_000,
+    "127.0.0.1:-1",
+    "127.0.0.1:+80",
+    "127.0.0.1: 80",
+    "127.0.0.1:8\u0660",
+    "127.0.0.1\0:80",
+    "127.0.0.1\r\nA: b:80",
+    "127.1:80",
+    "no-such-host.invalid:80",
+    "localhost:80",
+    "[::1]:80",
+    "::1:80",
+    "\ud800:80",
+]
 
 
 def leaf_paths(document, path=()):
