--- a/packages/cyclamentally-calls/cyclamentally_calls/caller_codec.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/caller_codec.py
@@ -1,6 +1,7 @@
 """Decoding of callers' requests and encoding of refusals for callers."""
 
 from cyclamentally.errors import Kind
+from cyclamentally_calls.decoding import parse_digits
 from cyclamentally_calls.http_codec import Response, end_to_end_headers
 from cyclamentally_calls.peer_codec import PEER_HEADERS
 
@@ -24,8 +25,8 @@
 
 def time_left_of(request, names):
     """Return the time that a caller waits in seconds; None if it does not tell."""
-    text = request.find(names.deadline_ms.lower)
-    return int(text) / MS_PER_S if text.isdigit() else None
+    left_ms = parse_digits(request.find(names.deadline_ms.lower))
+    return None if left_ms is None else left_ms / MS_PER_S
 
 
 def forwarded_headers(request, service, names):
--- a/packages/cyclamentally-calls/cyclamentally_calls/client_connection.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/client_connection.py
@@ -2,6 +2,7 @@
 
 from cyclamentally.body_budget import BodyBudget
 from cyclamentally.chart import runs_chart
+from cyclamentally_calls.decoding import parse_digits
 from cyclamentally_calls.outcomes import Answered, Lost, NotSent
 from cyclamentally_calls.response_parser import ResponseParser
 from cyclamentally_calls.stream import StreamOwner, connect
@@ -374,6 +375,7 @@
     """
     for part in response.find(b"keep-alive").split(b","):
         name, _, value = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and value.isdigit():
-            return max(0.0, min(default_s, int(value) - IDLE_MARGIN_S))
+        stated_s = parse_digits(value) if name.lower() == b"timeout" else None
+        if stated_s is not None:
+            return max(0.0, min(default_s, stated_s - IDLE_MARGIN_S))
     return default_s
--- a/packages/cyclamentally-calls/cyclamentally_calls/tests/test_client_connection.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/tests/test_client_connection.py
@@ -165,6 +165,13 @@
     assert [c.idle_timeout_s for c in pool.idle[next(iter(pool.idle))]] == [0.0]
 
 
+@pytest.mark.parametrize("digits", [19, 400, 5_000])
+def test_endless_keep_alive_timeout_does_not_lose_the_response(exchange, digits):
+    extra = b"Keep-Alive: timeout=" + b"9" * digits + b"\r\n"
+    found, _ = exchange(whole(b"a1", extra=extra))
+    assert found.response.body == b"abc"
+
+
 def test_response_before_end_of_request_closes_connection(loop, pool, upstream, pump):
     outcomes = []
     data = b"POST / HTTP/1.1\r\nContent-Length: 20000000\r\n\r\n" + b"x" * 20_000_000
--- a/packages/cyclamentally-calls/cyclamentally_calls/upstream_codec.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/upstream_codec.py
@@ -2,6 +2,7 @@
 
 from cyclamentally.errors import Done, Kind, Refused
 from cyclamentally.gate_messages import Heartbeat
+from cyclamentally_calls.decoding import is_name, is_slots, parse_digits
 from cyclamentally_calls.http_codec import Response, encode_request, end_to_end_headers
 from cyclamentally_calls.outcomes import Answered, Lost
 from cyclamentally_calls.peer_codec import PEER_HEADERS
@@ -90,9 +91,9 @@
     if response is None or response.status != HTTP_OK:
         return None
     name = response.find(names.upstream_name.lower).decode("latin-1")
-    slots = response.find(names.upstream_load.lower).split(b",")[-1].strip()
-    if not name or not slots.isdigit():
+    load = response.find(names.upstream_load.lower)
+    stated = parse_digits(load.split(b",")[-1].strip())
+    slots = 1 if stated == 0 else stated
+    if not (is_name(name) and is_slots(slots)):
         return None
-    return Heartbeat(
-        name, local.service, local.address, 0, 0, max(1, int(slots)), False
-    )
+    return Heartbeat(name, local.service, local.address, 0, 0, slots, False)
--- a/packages/cyclamentally-node/cyclamentally_node/caller_request.py
+++ b/packages/cyclamentally-node/cyclamentally_node/caller_request.py
@@ -3,6 +3,7 @@
 from cyclamentally.errors import Done, Kind, Refused
 from cyclamentally.quarantine import fingerprint_of
 from cyclamentally.records import Record
+from cyclamentally_calls.decoding import parse_digits
 from cyclamentally_calls.http_codec import Response, encode_request, end_to_end_headers
 
 IDEMPOTENT_METHODS = {b"GET", b"HEAD", b"OPTIONS", b"PUT", b"DELETE", b"TRACE"}
@@ -80,13 +81,14 @@
 def read_request(request):
     """Return ``Done`` with the `CallerRequest` of an HTTP request, or ``Refused``."""
     text = request.find(DEADLINE_HEADER.lower())
-    if text and not text.isdigit():
+    deadline_ms = parse_digits(text)
+    if text and deadline_ms is None:
         detail = (
             f"{DEADLINE_HEADER.decode()}: {text[:40].decode('latin-1')!r} "
             "is not a whole number of ms"
         )
         return Refused(Kind.BAD_REQUEST, detail)
-    return Done(CallerRequest(request, int(text) if text else None))
+    return Done(CallerRequest(request, deadline_ms))
 
 
 def check_answer(answer, is_head, address):
--- a/packages/cyclamentally-node/cyclamentally_node/tests/test_hostile.py
+++ b/packages/cyclamentally-node/cyclamentally_node/tests/test_hostile.py
@@ -123,3 +123,9 @@
     assert isinstance(outcome, OUTCOME)
     if isinstance(outcome, Done):
         assert (outcome.value.deadline_ms or 0) >= 0
+
+
+def test_deadline_with_too_many_digits_is_refused():
+    headers = [(b"Cyclamentally-Deadline-Ms", b"9" * 5_000)]
+    request = Request(b"GET", b"/", headers, b"", False, True)
+    assert isinstance(read_request(request), Refused)
