--- a/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
@@ -24,8 +24,8 @@
     StoreResumed,
     UpstreamChanged,
 )
-from cyclamentally_calls.entry_codec import decode_entry
 from cyclamentally_calls.event_timers import EventTimers
+from cyclamentally_calls.host_entries import HOSTS_PREFIX, HostEntryReader
 from cyclamentally_calls.host_registration import HostRegistration
 from cyclamentally_calls.http_codec import encode_request
 from cyclamentally_calls.loop import Task
@@ -40,7 +40,6 @@
 from cyclamentally_calls.store_client import CALL_TIMEOUT_S, StoreClient
 from cyclamentally_calls.store_sinks import HostSink, RouteSink
 
-HOSTS_PREFIX = "cyclamentally/hosts/"
 # Time beyond its long-poll wait after which a watch without a response has failed.
 WATCH_MARGIN_S = 2.0
 # Timeout of one page. Shorter ones fail on slow links: a configuration grown by
@@ -88,6 +87,7 @@
         "dialect",
         "directory",
         "client",
+        "entries",
         "feed",
         "is_source",
         "subscribers",
@@ -131,6 +131,7 @@
         self.feed = None
         self.is_source = False
         self.directory = HostDirectory()
+        self.entries = HostEntryReader(counters, log)
         self.table = None
         self.configuration = None
         self.peer_fallback = PeerFallback()
@@ -208,7 +209,7 @@
         """Replace the known hosts by a complete listing."""
         listed = []
         for item in update.changes:
-            entry = self._decode_host(item)
+            entry = self.entries.read(item)
             if entry is not None:
                 listed.append((entry, item.revision))
                 is_own = item.key == self.registration.key
@@ -224,7 +225,7 @@
             if change.key == self.registration.key:
                 self.registration.check_change(change)
             if isinstance(change, StoredItem):
-                entry = self._decode_host(change)
+                entry = self.entries.read(change)
                 if entry is not None:
                     self.directory.put(entry, change.revision)
             else:
@@ -287,14 +288,6 @@
         self._notify_hosts()
         self.apply_configuration(state.configuration)
 
-    def _decode_host(self, item):
-        entry = decode_entry(item.value)
-        if entry is None or HOSTS_PREFIX + entry.name != item.key:
-            self.counters.add("entries_refused_total", "unreadable")
-            self.log.write("entry_refused", key=item.key, revision=item.revision)
-            return None
-        return entry
-
     def _notify(self, message):
         for subscriber in self.subscribers:
             self.loop.post(subscriber, message)
