--- a/packages/cyclamentally/cyclamentally/tests/test_gate.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_gate.py
@@ -12,6 +12,7 @@
     StartWork,
     Ticket,
 )
+from cyclamentally.hosts import UpstreamEntry
 from cyclamentally.publication import Publication
 
 
@@ -118,6 +119,17 @@
     assert list(gate.running) == [1]
 
 
+def test_later_lifetime_opens_a_gate_closed_by_its_own_entry_after_a_liveness_check():
+    gate = open_gate()
+    gate.on_liveness_check(heartbeat(started=0, sequence=0), 0.0)
+    gate.on_own_entry(UpstreamEntry("u1", "shop", 2, True, 1_000), 0.1)
+    assert gate.state == "draining"
+    gate.on_heartbeat(heartbeat(started=1_000, sequence=9), 0.2)
+    assert gate.state == "draining"
+    gate.on_heartbeat(heartbeat(started=2_000), 0.3)
+    assert gate.state == "open"
+
+
 def test_an_end_before_any_heartbeat_closes_the_gate_to_that_upstream_only():
     fresh = open_gate()
     fresh.on_upstream_ended("u0", reported_ms=9_000, now=0.0)
