--- a/packages/cyclamentally-calls/cyclamentally_calls/decision_log.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/decision_log.py
@@ -81,7 +81,7 @@
         """Log that a listening socket could not accept a connection."""
         self.write("accept_failed", address=address, detail=reason)
 
-    def unexpected_error(self, error):
+    def unexpected_error(self, error, **fields):
         """Log an exception that no handler expects, with the place that raised it."""
         place = extract_tb(error.__traceback__)[-1]
         self.write(
@@ -89,6 +89,7 @@
             kind=type(error).__name__,
             detail=str(error),
             place=f"{Path(place.filename).name}:{place.lineno} {place.name}",
+            **fields,
         )
 
     def _flush_periodically(self):
--- a/packages/cyclamentally-calls/cyclamentally_calls/exchange.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/exchange.py
@@ -2,6 +2,9 @@
 
 from abc import ABC, abstractmethod
 
+from cyclamentally.errors import ANSWERS
+from cyclamentally_calls.http_codec import Response
+
 
 class RequestHandler(ABC):
     """The task that handles the requests of a connection."""
@@ -10,7 +13,10 @@
 
     @abstractmethod
     def on_request(self, exchange):
-        """Handle a complete request; ``exchange.respond`` sends its response."""
+        """Handle a complete request; ``exchange.respond`` sends its response.
+
+        Raises only if the request has not been passed on: it is then refused.
+        """
 
     @abstractmethod
     def on_disconnect(self, exchange):
@@ -28,6 +34,10 @@
     def on_closed(self, connection):
         """Handle that a connection was closed."""
 
+    def request_id(self, request):
+        """Return the ID of a request for the log; empty if it has none."""
+        return ""
+
 
 class Exchange:
     """One request on a connection and its response.
@@ -57,3 +67,13 @@
         if self.response is None:
             self.response = response
             self.connection.flush()
+
+    def fail(self, kind):
+        """Respond with no more than the status of a `Kind`.
+
+        Other nodes ignore such a response, since it lacks the ID of the request, and
+        learn from the end of the connection that the request has failed.
+        """
+        if self.response is None:
+            self.closes = True
+            self.respond(Response(ANSWERS[kind].status, [], b""))
--- a/packages/cyclamentally-calls/cyclamentally_calls/loop.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/loop.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 from collections import deque
+from contextlib import suppress
 from heapq import heappop, heappush
 from select import EPOLLERR, EPOLLHUP, epoll
 from time import CLOCK_BOOTTIME, clock_gettime
@@ -70,8 +71,8 @@
     clock : callable
         Returns the time in seconds.
     on_error : callable, optional
-        Takes an unexpected exception of a handler, callback or task, after which the
-        loop goes on. Without it, `run_once` raises the exception.
+        Takes an unexpected exception of a handler, callback or task, and fields for
+        the log, after which the loop goes on. Without it, the exception is raised.
     """
 
     __slots__ = (
@@ -141,6 +142,34 @@
         """Queue a message for a task; messages are delivered in order."""
         self.inbox.append((task, message))
 
+    def attempt(self, function, *arguments):
+        """Call a function; returns False if it raised an unexpected exception.
+
+        An error in one request must not end the requests of all others.
+        """
+        try:
+            function(*arguments)
+        except Exception as error:
+            self.report(error)
+            return False
+        return True
+
+    def report(self, error, **fields):
+        """Report an unexpected exception, which is being handled, to `on_error`.
+
+        Parameters
+        ----------
+        error : Exception
+            The exception; raised again if there is no `on_error`.
+        **fields : str
+            Fields for the log, for example the ID of a request.
+        """
+        if self.on_error is None:
+            raise error
+        # The log may be what has failed.
+        with suppress(Exception):
+            self.on_error(error, **fields)
+
     def run(self):
         """Dispatch events until `stop` is called."""
         self.is_running = True
@@ -153,8 +182,8 @@
         for descriptor, events in self.poller.poll(self._poll_timeout(timeout_s)):
             handler = self.handlers.get(descriptor)
             if handler is not None:
-                if not self._call(handler, events):
-                    self._call(self.failure_handlers.get(descriptor) or _ignore)
+                if not self.attempt(handler, events):
+                    self.attempt(self.failure_handlers.get(descriptor) or _ignore)
                 self._deliver()
         self._run_timers()
         self._deliver()
@@ -179,27 +208,13 @@
         while self.timers and self.timers[0].when <= now:
             callback = heappop(self.timers).callback
             if callback is not None:
-                self._call(callback)
+                self.attempt(callback)
                 self._deliver()
 
     def _deliver(self):
         while self.inbox:
             task, message = self.inbox.popleft()
-            self._call(task.receive, message)
-
-    def _call(self, function, *arguments):
-        """Call a function; returns False if it raised an unexpected exception.
-
-        An error in one request must not end the requests of all others.
-        """
-        try:
-            function(*arguments)
-        except Exception as error:
-            if self.on_error is None:
-                raise
-            self.on_error(error)
-            return False
-        return True
+            self.attempt(task.receive, message)
 
 
 def _ignore():
--- a/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
@@ -212,9 +212,9 @@
         self.log.close()
         self.loop.close()
 
-    def _handle_unexpected_error(self, error):
+    def _handle_unexpected_error(self, error, **fields):
         self.counters.add("unexpected_errors_total", type(error).__name__)
-        self.log.unexpected_error(error)
+        self.log.unexpected_error(error, **fields)
 
     def _make_store(self, dialects, random):
         return StoreTask(
--- a/packages/cyclamentally-calls/cyclamentally_calls/pacer.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/pacer.py
@@ -103,7 +103,8 @@
         chunk, write.data = write.data[:size], write.data[size:]
         if not write.data:
             self.queue.popleft()
-        write.stream.write_paced(chunk)
+        if not self.loop.attempt(write.stream.write_paced, chunk):
+            write.stream.abort()
 
     def _discard(self, write):
         """Drop the queued write of a closed connection."""
--- a/packages/cyclamentally-calls/cyclamentally_calls/server_connection.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/server_connection.py
@@ -3,9 +3,14 @@
 from collections import deque
 
 from cyclamentally.chart import runs_chart
-from cyclamentally.errors import Kind, Refused
+from cyclamentally.errors import ANSWERS, Kind, Refused, failed_internally
 from cyclamentally_calls.exchange import Exchange
-from cyclamentally_calls.http_codec import CONTINUE, RequestParser, encode_response
+from cyclamentally_calls.http_codec import (
+    CONTINUE,
+    RequestParser,
+    Response,
+    encode_response,
+)
 from cyclamentally_calls.stream import Stream, StreamOwner
 
 # Concurrent requests of one connection; clients that pipeline send a handful, and
@@ -81,10 +86,7 @@
         """Close the socket and tell the handler which requests are abandoned."""
         self.timer.cancel()
         self.stream.close()
-        for exchange in self.exchanges:
-            if exchange.is_started and exchange.response is None:
-                self.handler.on_disconnect(exchange)
-        self.exchanges.clear()
+        self._abandon_exchanges()
         self.handler.on_closed(self)
 
     def fire(self, event):
@@ -181,7 +183,10 @@
         while self.exchanges and self.exchanges[0].response is not None:
             exchange = self.exchanges.popleft()
             is_last = self.state == "finishing" and not self.exchanges
-            self._send(exchange, is_last or exchange.closes)
+            if not self.loop.attempt(self._send, exchange, is_last or exchange.closes):
+                # A part of the response may have been written.
+                self.stream.abort()
+                return
             if exchange.closes:
                 self._discard_pending()
         self._start_exchanges()
@@ -190,10 +195,15 @@
         self.last_activity = self.loop.clock()
 
     def _send(self, exchange, closes):
-        response = exchange.response
         is_head = exchange.request is not None and exchange.request.method == b"HEAD"
         idle_s = max(1, int(self.limits.idle_s))
-        data = encode_response(response, closes, is_head, idle_s)
+        try:
+            data = encode_response(exchange.response, closes, is_head, idle_s)
+        except Exception as error:
+            self._report(error, exchange)
+            exchange.closes = True
+            status = ANSWERS[Kind.INTERNAL_ERROR].status
+            data = encode_response(Response(status, [], b""), closes=True)
         if self.pacer is None:
             self.stream.write(data)
         else:
@@ -201,27 +211,61 @@
 
     def _discard_pending(self):
         """Drop the requests after a response that closes the connection."""
-        for exchange in self.exchanges:
-            if exchange.is_started and exchange.response is None:
-                self.handler.on_disconnect(exchange)
-        self.exchanges.clear()
+        self._abandon_exchanges()
         self.fire("drain")
 
+    def _abandon_exchanges(self):
+        """Drop all requests and tell the handler of those that it is handling."""
+        abandoned = [e for e in self.exchanges if e.is_started and e.response is None]
+        self.exchanges.clear()
+        for exchange in abandoned:
+            self.loop.attempt(self.handler.on_disconnect, exchange)
+
     def _start_exchanges(self):
         """Start the first request and the following ones that may run concurrently."""
         for position, exchange in enumerate(list(self.exchanges)):
             is_unreadable = exchange.request is None
             if is_unreadable or position >= MAX_CONCURRENT_REQUESTS:
                 return
-            may_run_concurrently = self.handler.may_run_concurrently(exchange.request)
+            # A response may have ended the connection, which drops the others.
+            if not self.exchanges:
+                return
+                return
+            may_run_concurrently = self._may_run_concurrently(exchange)
             if not exchange.is_started:
                 if position and not may_run_concurrently:
                     return
                 exchange.is_started = True
-                self.handler.on_request(exchange)
+                self._start(exchange)
             if not may_run_concurrently:
                 return
 
+    def _may_run_concurrently(self, exchange):
+        try:
+            return self.handler.may_run_concurrently(exchange.request)
+        except Exception as error:
+            self._report(error, exchange)
+            return False
+
+    def _start(self, exchange):
+        """Pass a request to the handler; refuse it if the handler fails."""
+        try:
+            self.handler.on_request(exchange)
+        except Exception as error:
+            self._report(error, exchange)
+            self._refuse(exchange, failed_internally(is_passed_on=False))
+
+    def _refuse(self, exchange, refusal):
+        """Send the handler's response to a refused request, or a plain one."""
+        self.loop.attempt(self._respond_refusal, exchange, refusal)
+        exchange.fail(refusal.kind)
+
+    def _respond_refusal(self, exchange, refusal):
+        exchange.respond(self.handler.refuse(exchange.request, refusal))
+
+    def _report(self, error, exchange):
+        self.loop.report(error, id=self.handler.request_id(exchange.request))
+
     def _reject(self, kind, detail):
         """Refuse a request that cannot be read completely and close the connection."""
         if self.state in ("lingering", "closed"):
@@ -233,7 +277,7 @@
         self.parser.in_message = False
         self.exchanges.append(exchange)
         self.fire("broken_request")
-        exchange.respond(self.handler.refuse(None, Refused(kind, detail)))
+        self._refuse(exchange, Refused(kind, detail))
 
     def _handle_parse_error(self):
         """Refuse malformed bytes; ignore them after the last request."""
--- a/packages/cyclamentally-calls/cyclamentally_calls/stream.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/stream.py
@@ -165,7 +165,8 @@
     def read_pending(self):
         """Read the bytes that have arrived already."""
         while self.is_open and self.is_connected and self.has_input():
-            self._read()
+            if not self.loop.attempt(self._read):
+                self.abort()
 
     def set_ack_timeout(self, timeout_s):
         """Break the connection if the peer acknowledges nothing.
@@ -300,9 +301,13 @@
             except OSError as error:
                 self._pause(str(error))
                 return
-            connection.setblocking(False)
-            connection.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
-            self.on_socket(connection)
+            if not self.loop.attempt(self._pass_on, connection):
+                connection.close()
+
+    def _pass_on(self, connection):
+        connection.setblocking(False)
+        connection.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+        self.on_socket(connection)
 
     def _pause(self, reason):
         """Stop polling for a while: the socket stays readable while accept fails."""
--- a/packages/cyclamentally/cyclamentally/errors.py
+++ b/packages/cyclamentally/cyclamentally/errors.py
@@ -54,6 +54,8 @@
     SETTINGS_INVALID = "settings_invalid"
     NODE_UNREACHABLE = "node_unreachable"
     NOT_IN_FORCE = "not_in_force"
+    INTERNAL_ERROR = "internal_error"
+    INTERNAL_ERROR_NOT_RUN = "internal_error_not_run"
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,6 +126,8 @@
     Kind.SETTINGS_INVALID: Answer(400, Ran.NO, None, EXIT_INPUT),
     Kind.NODE_UNREACHABLE: Answer(503, Ran.NO, 1, EXIT_UNAVAILABLE),
     Kind.NOT_IN_FORCE: Answer(504, Ran.UNKNOWN, 1, EXIT_UNKNOWN),
+    Kind.INTERNAL_ERROR: Answer(502, Ran.UNKNOWN, None, EXIT_UNKNOWN),
+    Kind.INTERNAL_ERROR_NOT_RUN: Answer(503, Ran.NO, 1, EXIT_UNAVAILABLE),
 }
 
 
@@ -155,6 +159,18 @@
         return ANSWERS[self.kind]
 
 
+def failed_internally(is_passed_on):
+    """Return the refusal of a request after an unexpected error of this program.
+
+    Parameters
+    ----------
+    is_passed_on : bool
+        Whether an upstream may have received the request.
+    """
+    kind = Kind.INTERNAL_ERROR if is_passed_on else Kind.INTERNAL_ERROR_NOT_RUN
+    return Refused(kind, "unexpected error")
+
+
 @dataclass(frozen=True, slots=True)
 class Done:
     """A success with its value."""
