--- a/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
@@ -1,10 +1,11 @@
 """The task that runs admission control for the upstream on this node's host."""
 
+from functools import partial
 from time import time
 
 from cyclamentally.body_budget import max_body_bytes
 from cyclamentally.effects import Count, StateChanged
-from cyclamentally.errors import Done, Kind, Refused
+from cyclamentally.errors import Done, Kind, Refused, failed_internally
 from cyclamentally.gate_messages import (
     RefuseWork,
     StartWork,
@@ -189,7 +190,7 @@
             return
         if ticket.version > (self.table.version if self.table else 0):
             self.loop.post(self.store, NewerVersionSeen(ticket.sender, ticket.version))
-        requester = PeerRequester(exchange, self.names.request_id)
+        requester = PeerRequester(self.loop, exchange, self.names.request_id)
         self._admit(requester, ticket, exchange.request)
 
     def on_disconnect(self, exchange):
@@ -204,6 +205,10 @@
         """Return False: nodes do not pipeline requests."""
         return False
 
+    def request_id(self, request):
+        """Return the ID of a request for the log; empty if it has none."""
+        return request_id_of(request, self.names) if request is not None else ""
+
     def refuse(self, request, refusal):
         """Return the response to a request that violates the peer protocol."""
         self.counters.add("peer_requests_refused_total", refusal.kind)
@@ -233,20 +238,13 @@
         request_id = request_id_of(request, self.names)
         work = Work(requester, request, request_id, ticket, peer_ticket.is_repeat)
         self.works.add(work)
-        self._carry_out(self.gate.admit(ticket, now))
+        self._run(work, self._enter_gate, now)
 
     def _withdraw(self, source):
         """Cancel a request, whether it is queued or in flight to the upstream."""
-        work = self.works.by_source.get(source)
-        if work is None:
-            return
-        self._remove(work)
-        self.gate.cancel(work.ticket.number)
-        if work.outgoing is not None:
-            work.outgoing.cancel()
-        self.counters.add("works_cancelled_total")
-        effects = self.gate.finish(work.ticket.number, False, self.loop.clock())
-        self._carry_out(effects)
+        if work := self.works.by_source.get(source):
+            self._run(work, self._cancel)
+            self.counters.add("works_cancelled_total")
 
     def _apply_routes(self, table):
         self.table = table
@@ -281,30 +279,73 @@
 
     def _carry_out(self, effects):
         for effect in effects:
-            if isinstance(effect, StartWork):
-                self._start_work(effect)
-            elif isinstance(effect, RefuseWork):
-                self._refuse_work(effect)
-            elif isinstance(effect, Count):
-                self.counters.add_effects([effect])
-            elif isinstance(effect, StateChanged):
-                self.log.write("state", subject=effect.subject, state=effect.state)
-
-    def _refuse_work(self, effect):
-        work = self.works.by_number.get(effect.number)
-        if work is not None:
-            self.counters.add("gate_refusals_total", effect.refusal.kind)
-            self._resolve(work, effect.refusal)
-
-    def _start_work(self, effect):
-        work = self.works.by_number[effect.number]
+            # The effects of one event may concern several requests.
+            self.loop.attempt(self._carry_out_one, effect)
+
+    def _carry_out_one(self, effect):
+        if isinstance(effect, StartWork):
+            self._run(self.works.by_number[effect.number], self._start, effect)
+        elif isinstance(effect, RefuseWork):
+            if work := self.works.by_number.get(effect.number):
+                self._run(work, self._refuse, effect)
+        elif isinstance(effect, Count):
+            self.counters.add_effects([effect])
+        elif isinstance(effect, StateChanged):
+            self.log.write("state", subject=effect.subject, state=effect.state)
+
+    # Steps of a request.
+
+    def _run(self, work, step, *arguments):
+        """Run a step of a request, which ends if the step fails."""
+        if work.ticket.number not in self.works.by_number:
+            return
+        try:
+            step(work, *arguments)
+        except Exception as error:
+            self.loop.report(error, id=work.request_id)
+            self._fail(work)
+
+    def _fail(self, work):
+        """End a request after an unexpected error, whatever state it is in.
+
+        Each action may fail, as the step before has, without the following ones.
+        """
+        refusal = failed_internally(is_passed_on=work.outgoing is not None)
+        if work.outgoing is not None:
+            self.loop.attempt(work.outgoing.cancel)
+        self.loop.attempt(self._remove, work)
+        self.loop.attempt(self._free_slot, work.ticket.number)
+        if not self.loop.attempt(self._resolve, work, refusal):
+            work.requester.fail(refusal)
+
+    def _enter_gate(self, work, now):
+        self._carry_out(self.gate.admit(work.ticket, now))
+
+    def _cancel(self, work):
+        """End a request without an outcome, and free its slot."""
+        if work.outgoing is not None:
+            work.outgoing.cancel()
+        self._remove(work)
+        self._free_slot(work.ticket.number)
+
+    def _free_slot(self, number):
+        self.gate.cancel(number)
+        self._carry_out(self.gate.finish(number, False, self.loop.clock()))
+
+    def _refuse(self, work, effect):
+        self.counters.add("gate_refusals_total", effect.refusal.kind)
+        self._resolve(work, effect.refusal)
+
+    def _start(self, work, effect):
         self.works.start(work)
         limit = max_body_bytes(find_rule(self.table, work.request))
         if work.is_repeat:
             self._report_repeat(work, is_running=True)
-        self.client.send(work, effect.heartbeat, limit, self._finish_work)
+        on_result = partial(self._run, work, self._finish)
+        self.client.send(work, effect.heartbeat, limit, on_result)
 
-    def _finish_work(self, work, outcome):
+    def _finish(self, work, result):
+        outcome = self.client.take_result(work, result)
         kind = getattr(outcome, "kind", None)
         if kind in (Kind.UPSTREAM_UNREACHABLE, Kind.UPSTREAM_LEFT):
             self._mark_unreachable("unreachable")
@@ -336,11 +377,22 @@
             self._report_repeat(work, is_running=False)
 
     def _tick(self):
+        self.loop.attempt(self._check_gate)
+        self.loop.attempt(self._end_lost)
+        pause = TICK_WITH_QUEUE_S if self.gate.waiting else TICK_S
+        self.timer = self.loop.call_after(pause, self._tick)
+
+    def _end_lost(self):
+        """End requests that an unexpected error has left without a next step."""
+        for work in self.works.overdue(self.loop.clock()):
+            self._fail(work)
+        for number in self.works.find_lost(self.gate):
+            self._free_slot(number)
+
+    def _check_gate(self):
         now = self.loop.clock()
         silence = now - self.gate.last_heartbeat_at
         if self.gate.state == "open":
             if silence > MAX_MISSED_HEARTBEATS * self.local_upstream.heartbeat_s:
                 self._mark_unreachable("silent")
             self._carry_out(self.gate.tick(now))
-        pause = TICK_WITH_QUEUE_S if self.gate.waiting else TICK_S
-        self.timer = self.loop.call_after(pause, self._tick)
--- a/packages/cyclamentally-calls/cyclamentally_calls/offers.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/offers.py
@@ -1,7 +1,5 @@
 """Offers of a node's requests to the gates of upstreams."""
 
-from functools import partial
-
 from cyclamentally.body_budget import max_body_bytes
 from cyclamentally_calls.call_events import HostFailed, Offer, OfferWithdrawn
 from cyclamentally_calls.calls import echo_of
@@ -36,28 +34,23 @@
         Headers shared with callers and upstreams.
     sender : Task
         Receiver of `OfferDone` from the gate of this node.
-    on_outcome : callable
-        Takes the call, the outcome (``Done`` or ``Refused``) at another node's gate,
-        and its `Load` or None.
     """
 
     __slots__ = (
         "gate",
         "loop",
         "names",
-        "on_outcome",
         "place",
         "pool",
         "sender",
         "store",
     )
 
-    def __init__(self, loop, place, names, sender, on_outcome):
+    def __init__(self, loop, place, names, sender):
         self.loop = loop
         self.place = place
         self.names = names
         self.sender = sender
-        self.on_outcome = on_outcome
         self.pool = ConnectionPool(
             loop, PEER_IDLE_TIMEOUT_S, CONNECT_TIMEOUT_S, ACK_TIMEOUT_S
         )
@@ -68,7 +61,7 @@
         """Close the connections to other nodes."""
         self.pool.close()
 
-    def send(self, call, version, now):
+    def send(self, call, version, now, on_result):
         """Offer a request to the upstream that its `Forwarding` has noted.
 
         Parameters
@@ -79,6 +72,8 @@
             Version of the configuration in force.
         now : float
             Time in seconds.
+        on_result : callable
+            Takes the result of sending the offer to another node.
         """
         forwarding, request = call.forwarding, call.exchange.request
         view = forwarding.view
@@ -95,7 +90,7 @@
         call.outgoing = OutgoingRequest(
             encode_offer(offered, ticket),
             echo_of(request, self.names),
-            partial(self._handle_result, call),
+            on_result,
             request.method == b"HEAD",
             max_body_bytes(forwarding.rule),
         )
@@ -121,10 +116,12 @@
         view.fail(self.loop.clock())
         self.loop.post(self.store, HostFailed(view.entry.name))
 
-    def _handle_result(self, call, result):
-        """Handle the response of another node's gate, or its failure."""
+    def take_result(self, call, result):
+        """Return the outcome and the `Load` of an offer to another node.
+
+        A host that did not respond is ejected.
+        """
         call.outgoing = None
         if not isinstance(result, Answered):
             self.suspect_host(call.forwarding.view)
-        outcome, load = decode_offer_result(result)
-        self.on_outcome(call, outcome, load)
+        return decode_offer_result(result)
--- a/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
@@ -1,6 +1,8 @@
 """The task that owns callers' connections and forwards their requests to gates."""
 
-from cyclamentally.errors import Done, Kind, Refused
+from functools import partial
+
+from cyclamentally.errors import Done, Kind, Refused, failed_internally
 from cyclamentally.forwarding import OfferResult, no_upstream, time_over
 from cyclamentally.intake import Intake
 from cyclamentally.placing import pause_for_refusal
@@ -108,7 +110,7 @@
         self.counters = counters
         self.log = log
         self.listener = Listener(loop, address, self._accept, log.listener_failed)
-        self.offers = OfferSender(loop, place, names, self, self._handle_outcome)
+        self.offers = OfferSender(loop, place, names, self)
         self.connections = set()
         self.limits = DEFAULT_LIMITS
         self.table = None
@@ -131,7 +133,7 @@
         """Handle a message from another task."""
         if isinstance(message, OfferDone):
             if call := self.calls.get(message.number):
-                self._handle_outcome(call, message.outcome, message.load)
+                self._run(call, self._handle_outcome, message.outcome, message.load)
         elif isinstance(message, HostsReplaced):
             self.hosts = message.by_service
             self.upstreams.update(e for group in self.hosts.values() for e in group)
@@ -142,9 +144,9 @@
         elif isinstance(message, ServiceChanged):
             self.service = message.service
         elif isinstance(message, DrainConnections):
-            self.listener.close()
+            self.loop.attempt(self.listener.close)
             for connection in list(self.connections):
-                connection.drain()
+                self.loop.attempt(connection.drain)
         elif isinstance(message, IdleQuery):
             unsent = any(c.has_unsent() for c in self.connections)
             self.loop.post(message.sender, IdleReply(not self.calls and not unsent))
@@ -172,21 +174,16 @@
         call = Call(
             exchange, forwarding, forwarded_headers(request, self.service, self.names)
         )
+        time_out = partial(self._run, call, self._time_out)
+        call.timer = self.loop.call_at(forwarding.expires, time_out)
         self.calls[forwarding.number] = call
         self.by_exchange[exchange] = call
-        call.timer = self.loop.call_at(forwarding.expires, lambda: self._time_out(call))
-        self._dispatch(call)
+        self._run(call, self._dispatch)
 
     def on_disconnect(self, exchange):
         """Cancel a request whose caller has disconnected."""
-        call = self.by_exchange.get(exchange)
-        if call is None:
-            return
-        call.forwarding.fire("caller_gone")
-        self.counters.add("calls_abandoned_total")
-        self.log.success("caller_gone", **self._log_fields(call))
-        self.offers.withdraw(call)
-        self._remove(call)
+        if call := self.by_exchange.get(exchange):
+            self._run(call, self._abandon)
 
     def on_closed(self, connection):
         """Remove a closed connection."""
@@ -199,6 +196,10 @@
         rule = find_rule(self.table, request)
         return rule is None or rule.kind.may_repeat
 
+    def request_id(self, request):
+        """Return the ID of a request for the log; empty if it has none."""
+        return request_id_of(request, self.names) if request is not None else ""
+
     def refuse(self, request, refusal):
         """Count a refused request and return its response."""
         self.counters.add("requests_refused_total", refusal.kind)
@@ -215,6 +216,39 @@
         for connection in self.connections:
             connection.limits = self.limits
 
+    # Steps of a request.
+
+    def _run(self, call, step, *arguments):
+        """Run a step of a request, which ends if the step fails."""
+        if call.forwarding.number not in self.calls:
+            return
+        try:
+            step(call, *arguments)
+        except Exception as error:
+            self.loop.report(error, id=self.request_id(call.exchange.request))
+            self._fail(call)
+
+    def _fail(self, call):
+        """End a request after an unexpected error, whatever state it is in.
+
+        Each action may fail, as the step before has, without the following ones.
+        """
+        refusal = failed_internally(is_passed_on=call.forwarding.offers > 0)
+        self.loop.attempt(self.offers.withdraw, call)
+        self.loop.attempt(self.offers.uncount, call)
+        self.loop.attempt(self._remove, call)
+        if call.exchange.response is None:
+            self.loop.attempt(self._finish, call, "failed_internally", refusal)
+        call.exchange.fail(refusal.kind)
+
+    def _abandon(self, call):
+        """Cancel a request whose caller has disconnected."""
+        call.forwarding.fire("caller_gone")
+        self.counters.add("calls_abandoned_total")
+        self.log.success("caller_gone", **self._log_fields(call))
+        self.offers.withdraw(call)
+        self._remove(call)
+
     def _dispatch(self, call):
         """Offer a request to the upstream that load balancing chooses."""
         forwarding = call.forwarding
@@ -229,7 +263,13 @@
             self._finish(call, "no_place", refusal)
             return
         forwarding.fire("offered", view)
-        self.offers.send(call, self.table.version, now)
+        on_result = partial(self._run, call, self._handle_result)
+        self.offers.send(call, self.table.version, now, on_result)
+
+    def _handle_result(self, call, result):
+        """Handle the response of another node's gate, or its failure."""
+        outcome, load = self.offers.take_result(call, result)
+        self._handle_outcome(call, outcome, load)
 
     def _handle_outcome(self, call, outcome, load):
         forwarding = call.forwarding
@@ -285,14 +325,16 @@
             if forwarding.view.is_silent_since(call.offered_at):
                 self.offers.suspect_host(forwarding.view)
         self._finish(call, "time_over", refusal)
+        if call.exchange.response is None:
+            self._fail(call)
 
     def _respond(self, call, response):
         headers = end_to_end_headers(response.headers, PEER_HEADERS)
         self._remove(call)
-        count_response(self.counters, call, response.status, self.loop.clock())
-        self.log.success("answered", status=response.status, **self._log_fields(call))
         body, length = response.body, response.length
         call.exchange.respond(Response(response.status, headers, body, length=length))
+        count_response(self.counters, call, response.status, self.loop.clock())
+        self.log.success("answered", status=response.status, **self._log_fields(call))
 
     def _refuse(self, exchange, refusal):
         self.log.write(
@@ -310,9 +352,9 @@
         return call_fields(call, self.table.version, now, self.names)
 
     def _remove(self, call):
-        if call.forwarding.lacked_budget:
-            call_id = request_id_of(call.exchange.request, self.names)
-            self.loop.post(self.offers.gate, CallNotRetried(call_id))
         call.timer.cancel()
         self.calls.pop(call.forwarding.number, None)
         self.by_exchange.pop(call.exchange, None)
+        if call.forwarding.lacked_budget:
+            call_id = request_id_of(call.exchange.request, self.names)
+            self.loop.post(self.offers.gate, CallNotRetried(call_id))
--- a/packages/cyclamentally-calls/cyclamentally_calls/requesters.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/requesters.py
@@ -26,6 +26,10 @@
     def resolve(self, outcome, load):
         """Report ``Done`` or ``Refused``, with the `Load` after the request."""
 
+    @abstractmethod
+    def fail(self, refusal):
+        """Report a ``Refused`` alone, after an unexpected error."""
+
 
 class LocalRequester(Requester):
     """A task of this node."""
@@ -46,13 +50,18 @@
         """Send `OfferDone`."""
         self.loop.post(self.sender, OfferDone(self.number, outcome, load))
 
+    def fail(self, refusal):
+        """Send `OfferDone` without a load."""
+        self.loop.post(self.sender, OfferDone(self.number, refusal, None))
+
 
 class PeerRequester(Requester):
     """Another node."""
 
-    __slots__ = ("exchange", "id_name")
+    __slots__ = ("exchange", "id_name", "loop")
 
-    def __init__(self, exchange, id_name):
+    def __init__(self, loop, exchange, id_name):
+        self.loop = loop
         self.exchange = exchange
         self.id_name = id_name
 
@@ -71,7 +80,14 @@
             )
             self.exchange.respond(passed_on)
             return
-        headers = [encode_refusal(outcome), encode_load(load)]
+        self._refuse([encode_refusal(outcome), encode_load(load)])
+
+    def fail(self, refusal):
+        """Refuse the other node's request; without a load, and if need be a reason."""
+        self.loop.attempt(self._refuse, [encode_refusal(refusal)])
+        self.exchange.fail(refusal.kind)
+
+    def _refuse(self, headers):
         echo = self.exchange.request.find(self.id_name.lower)
         if echo:
             headers.append((self.id_name.text, echo))
--- a/packages/cyclamentally-calls/cyclamentally_calls/upstream_client.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/upstream_client.py
@@ -54,7 +54,7 @@
         """Close the connections."""
         self.pool.close()
 
-    def send(self, work, heartbeat, max_body_bytes, on_outcome):
+    def send(self, work, heartbeat, max_body_bytes, on_result):
         """Send an admitted request.
 
         Parameters
@@ -65,8 +65,8 @@
             Names the upstream and its address.
         max_body_bytes : int
             Limit of the response's body.
-        on_outcome : callable
-            Takes the work and ``Done`` or ``Refused``.
+        on_result : callable
+            Takes the result of sending it.
         """
         request = work.request
         left_s = work.ticket.expires - self.loop.clock()
@@ -74,7 +74,7 @@
         work.outgoing = OutgoingRequest(
             data,
             echo_of(request, self.names),
-            partial(self._handle_result, work, on_outcome),
+            on_result,
             request.method == b"HEAD",
             max_body_bytes,
         )
@@ -100,7 +100,8 @@
         deadline = self.loop.clock() + LIVENESS_TIMEOUT_S
         self.pool.send(self.local_upstream.address, outgoing, deadline)
 
-    def _handle_result(self, work, on_outcome, result):
+    def take_result(self, work, result):
+        """Return the outcome of a request, ``Done`` or ``Refused``."""
         outcome = classify_result(result, self.names)
         if isinstance(outcome, Refused):
             self.counters.add("upstream_failures_total", outcome.kind)
@@ -111,7 +112,7 @@
                 kind=outcome.kind,
                 detail=outcome.detail,
             )
-        on_outcome(work, outcome)
+        return outcome
 
     def _handle_liveness_result(self, on_heartbeat, result):
         response = getattr(result, "response", None)
--- a/packages/cyclamentally-calls/cyclamentally_calls/work.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/work.py
@@ -5,6 +5,9 @@
 from cyclamentally_calls.peer_codec import mark_final
 
 FIRST_SERVER_ERROR = 500
+# Time after its deadline by which a request at a gate has ended, unless an unexpected
+# error has lost it.
+OVERDUE_S = 0.25
 
 
 class LocalUpstream:
@@ -101,6 +104,17 @@
         if self.running.get(work.request_id) is work:
             del self.running[work.request_id]
 
+    def overdue(self, now):
+        """Return the requests whose deadline passed `OVERDUE_S` ago."""
+        return [
+            w for w in self.by_number.values() if now > w.ticket.expires + OVERDUE_S
+        ]
+
+    def find_lost(self, gate):
+        """Return the numbers that a `Gate` holds of requests that have ended."""
+        held = {*gate.running, *(ticket.number for ticket in gate.waiting)}
+        return held - self.by_number.keys()
+
     def note_call_not_retried(self, call_id):
         """Note that a call of a running request lacked retry budget."""
         run_id = find_run(call_id, self.running)
