--- a/packages/cyclamentally-calls/cyclamentally_calls/client_connection.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/client_connection.py
@@ -60,9 +60,17 @@
         self.counted_bytes = 0
         outgoing.connection = self
         self.connect_timer = None
-        self.stream = connect(pool.loop, address, self)
-        if pool.ack_timeout_s:
-            self.stream.set_ack_timeout(pool.ack_timeout_s)
+        self.stream = None
+
+    def open(self):
+        """Start to connect; the first request follows."""
+        loop = self.pool.loop
+        self.connect_timer = loop.call_after(
+            self.pool.connect_timeout_s, self.time_out_connect
+        )
+        self.stream = connect(loop, self.address, self)
+        if self.pool.ack_timeout_s:
+            self.stream.set_ack_timeout(self.pool.ack_timeout_s)
 
     def send(self, outgoing):
         """Send a request on this idle connection."""
@@ -71,11 +79,13 @@
         if self.pool.is_guarded:
             self.sent_echoes.add(outgoing.echo)
         self.fire("sent")
+        outgoing.is_sent = True
         self.stream.write(outgoing.data)
 
     def send_first(self, message):
         """Send the request that the connection was opened for."""
         self._cancel_connect_timer()
+        self.outgoing.is_sent = True
         self.stream.write(self.outgoing.data)
 
     def is_fresh_for(self, outgoing):
@@ -117,14 +127,13 @@
 
     def report_response(self, message):
         """Report the complete response."""
-        outgoing, self.outgoing = self.outgoing, None
-        outgoing.connection = None
-        outgoing.finish(Answered(outgoing.response))
+        self._report(Answered(self.outgoing.response))
 
     def release(self, message):
         """Close the socket and leave the pool."""
         self._cancel_connect_timer()
-        self.stream.close()
+        if self.stream is not None:
+            self.stream.close()
         self.parser.discard()
         self.pool.bodies.release(self)
         self.pool.remove(self)
@@ -145,8 +154,17 @@
             self._fail(Lost(detail, is_partial=is_partial))
 
     def fire(self, event, message=None):
-        """Fire an event of the state chart."""
-        self.chart.fire(self, event, message)
+        """Fire an event of the state chart; the request has failed if that raises."""
+        if not self.pool.loop.attempt(self.chart.fire, self, event, message):
+            self.give_up()
+
+    def give_up(self):
+        """Close the connection and report the failure after an unexpected error."""
+        self.pool.loop.attempt(self.chart.fire, self, "failed_internally")
+        if self.outgoing is not None:
+            detail = f"{self.address}: unexpected error"
+            is_sent = self.outgoing.is_sent
+            self._report(Lost(detail) if is_sent else NotSent(detail))
 
     def on_connected(self):
         """Send the request that was waiting for the connection."""
@@ -225,10 +243,14 @@
 
     def _fail(self, outcome):
         self.release(None)
+        if self.outgoing is not None:
+            self._report(outcome)
+
+    def _report(self, outcome):
+        """Report the outcome; an error of the receiver is none of the connection."""
         outgoing, self.outgoing = self.outgoing, None
-        if outgoing is not None:
-            outgoing.connection = None
-            outgoing.finish(outcome)
+        outgoing.connection = None
+        self.pool.loop.attempt(outgoing.finish, outcome)
 
 
 class ConnectionPool:
@@ -295,17 +317,22 @@
         deadline : float
             Time after which the request has failed, in seconds.
         """
+        outgoing.timer = self.loop.call_at(deadline, outgoing.time_out)
+        if self.loop.attempt(self._send, address, outgoing):
+            return
+        if outgoing.connection is not None:
+            outgoing.connection.give_up()
+        else:
+            outgoing.finish(NotSent(f"{address}: unexpected error"))
+
+    def _send(self, address, outgoing):
         connection = self._take_idle(address, outgoing)
         if connection is not None:
             connection.send(outgoing)
-        else:
-            connection = ClientConnection(self, address, outgoing)
-            self.connections.setdefault(address, set()).add(connection)
-            connection.connect_timer = self.loop.call_after(
-                self.connect_timeout_s, connection.time_out_connect
-            )
-        if outgoing.on_outcome is not None:
-            outgoing.timer = self.loop.call_at(deadline, lambda: _time_out(outgoing))
+            return
+        connection = ClientConnection(self, address, outgoing)
+        self.connections.setdefault(address, set()).add(connection)
+        connection.open()
 
     def add_idle(self, connection):
         """Return an idle connection to the pool."""
@@ -352,16 +379,6 @@
         return None
 
 
-def _time_out(outgoing):
-    """Fail a request whose deadline has passed."""
-    connection, report = outgoing.connection, outgoing.on_outcome
-    is_sent = connection is not None and connection.state == "busy"
-    outgoing.cancel()
-    if report is not None:
-        detail = "no complete response before the deadline"
-        report(Lost(detail, is_timeout=True) if is_sent else NotSent(detail))
-
-
 def keep_alive_timeout_s(response, default_s):
     """Return the idle timeout of a connection by the response's ``Keep-Alive``.
 
--- a/packages/cyclamentally-calls/cyclamentally_calls/outgoing_request.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/outgoing_request.py
@@ -1,6 +1,7 @@
 """A request to another process and the callback for its outcome."""
 
 from cyclamentally.body_budget import MAX_DOWNLOAD_BYTES
+from cyclamentally_calls.outcomes import Lost, NotSent
 
 
 class OutgoingRequest:
@@ -26,6 +27,7 @@
         "data",
         "echo",
         "is_head",
+        "is_sent",
         "max_body_bytes",
         "on_outcome",
         "timer",
@@ -44,6 +46,8 @@
         self.echo = echo
         self.on_outcome = on_outcome
         self.is_head = is_head
+        # Whether any byte of it may have been sent.
+        self.is_sent = False
         self.connection = None
         self.response = None
         self.timer = None
@@ -56,6 +60,14 @@
         if self.connection is not None:
             self.connection.fire("cancelled")
 
+    def time_out(self):
+        """Cancel the request and report that its deadline has passed."""
+        report = self.on_outcome
+        self.cancel()
+        if report is not None:
+            detail = "no complete response before the deadline"
+            report(Lost(detail, is_timeout=True) if self.is_sent else NotSent(detail))
+
     def finish(self, outcome):
         """Report the outcome unless the request was cancelled."""
         if self.timer is not None:
