--- a/packages/cyclamentally-calls/cyclamentally_calls/accepted_connections.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/accepted_connections.py
@@ -66,9 +66,9 @@
 
     def drain(self):
         """Accept no more connections; close each after the requests it has sent."""
-        self.listener.close()
+        self.loop.attempt(self.listener.close)
         for connection in list(self.opened):
-            connection.drain()
+            self.loop.attempt(connection.drain)
 
     def has_unsent(self):
         """Whether bytes of a response have not been sent yet."""
