--- a/packages/cyclamentally-calls/cyclamentally_calls/accepted_connections.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/accepted_connections.py
@@ -1,12 +1,14 @@
 """The listener of a task and the connections that it has accepted."""
 
+from cyclamentally.chart import runs_chart
 from cyclamentally_calls.calls import request_id_of
 from cyclamentally_calls.server_connection import ServerConnection
 from cyclamentally_calls.stream import Listener
 
 
+@runs_chart("accepted_connections", "cyclamentally_calls.charts")
 class AcceptedConnections:
-    """Owns the listener and the accepted connections of a task.
+    """Owns the listener and the connections of a task; runs ``accepted_connections``.
 
     Parameters
     ----------
@@ -35,6 +37,7 @@
         "loop",
         "opened",
         "pacer",
+        "state",
     )
 
     def __init__(self, loop, address, handler, limits, counters, log, pacer=None):
@@ -45,6 +48,7 @@
         self.log = log
         self.pacer = pacer
         self.opened = set()
+        self.state = self.chart.initial
         self.listener = Listener(loop, address, self._accept, log.listener_failed)
 
     def start(self):
@@ -64,15 +68,29 @@
         for connection in self.opened:
             connection.limits = limits
 
-    def drain(self):
-        """Accept no more connections; close each after the requests it has sent."""
+    def fire(self, event):
+        """Fire an event of the state chart."""
+        self.chart.fire(self, event)
+
+    def stop_listening(self, message):
+        """Accept no more connections than those that are established already."""
         self.listener.close()
+
+    def drain_all(self, message):
+        """Answer what each connection has sent already, then close it."""
         for connection in list(self.opened):
             connection.drain()
 
-    def has_unsent(self):
-        """Whether bytes of a response have not been sent yet."""
-        return any(connection.has_unsent() for connection in self.opened)
+    def refuse_unread(self, refusal):
+        """Refuse the requests that are being read."""
+        for connection in list(self.opened):
+            connection.refuse_unread(refusal)
+
+    def is_idle(self):
+        """Whether nothing is being read or sent; when draining, whether all closed."""
+        if self.state == "draining":
+            return not self.opened
+        return not any(connection.is_pending() for connection in self.opened)
 
     def remove(self, connection):
         """Remove a closed connection."""
@@ -99,6 +117,6 @@
             cut=len(cut),
             reading=sum(c.parser.in_message for c in self.opened),
             unread=len(unread),
-            unsent=sum(c.has_unsent() for c in self.opened),
+            unsent=sum(c.stream.has_unsent() for c in self.opened),
             lingering=sum(c.state == "lingering" for c in self.opened),
         )
--- a/packages/cyclamentally-calls/cyclamentally_calls/call_events.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/call_events.py
@@ -194,7 +194,13 @@
 
 
 class DrainConnections(Record):
-    """Shutdown: stop accepting callers and drain their connections."""
+    """Shutdown: accept no connections; close all after what they have sent."""
+
+    __slots__ = ()
+
+
+class EndRequests(Record):
+    """Shutdown: the time for requests in flight is over; they are answered now."""
 
     __slots__ = ()
 
@@ -215,7 +221,10 @@
 
 
 class IdleReply(Record):
-    """Reply to `IdleQuery`: idle means no requests and no unsent responses."""
+    """Reply to `IdleQuery`: idle means no requests and no unsent responses.
+
+    Once connections are drained, it also means that all of them are closed.
+    """
 
     __slots__ = ("is_idle",)
 
--- a/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
@@ -13,9 +13,12 @@
 )
 from cyclamentally.publication import Publication
 from cyclamentally.routes import CallerLimits
+from cyclamentally.shutdown import not_finished
 from cyclamentally_calls.accepted_connections import AcceptedConnections
 from cyclamentally_calls.call_events import (
     CallNotRetried,
+    DrainConnections,
+    EndRequests,
     FeedRequest,
     IdleQuery,
     IdleReply,
@@ -162,10 +165,14 @@
         elif isinstance(message, ServiceChanged):
             self.local_upstream.service = message.service
         elif isinstance(message, IdleQuery):
-            unsent = self.connections.has_unsent()
-            self.loop.post(message.sender, IdleReply(not self.works and not unsent))
+            is_idle = not self.works and self.connections.is_idle()
+            self.loop.post(message.sender, IdleReply(is_idle))
         elif isinstance(message, ShutdownStarted):
             self._carry_out(self.gate.stop())
+        elif isinstance(message, EndRequests):
+            self._end_works()
+        elif isinstance(message, DrainConnections):
+            self.connections.fire("drain")
 
     # Requests from other nodes.
 
@@ -314,6 +321,13 @@
         self._carry_out(self.gate.on_upstream_lost(event))
         self._publish()
 
+    def _end_works(self):
+        """Resolve the requests that the upstream has not answered in a shutdown."""
+        for work in list(self.works.by_number.values()):
+            if work.outgoing is not None:
+                work.outgoing.cancel()
+            self._resolve(work, not_finished())
+
     def _resolve(self, work, outcome):
         self._remove(work)
         work.requester.resolve(outcome, self.gate.load(work.ticket.route))
--- a/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
@@ -5,10 +5,12 @@
 from cyclamentally.intake import Intake
 from cyclamentally.placing import pause_for_refusal
 from cyclamentally.routes import DEFAULT_LIMITS
+from cyclamentally.shutdown import node_stopping, not_finished
 from cyclamentally_calls.accepted_connections import AcceptedConnections
 from cyclamentally_calls.call_events import (
     CallNotRetried,
     DrainConnections,
+    EndRequests,
     HostsReplaced,
     IdleQuery,
     IdleReply,
@@ -136,11 +138,13 @@
             self.intake.repeated_runs.update(message.request_id, message.is_running)
         elif isinstance(message, ServiceChanged):
             self.service = message.service
+        elif isinstance(message, EndRequests):
+            self._end_calls()
         elif isinstance(message, DrainConnections):
-            self.connections.drain()
+            self.connections.fire("drain")
         elif isinstance(message, IdleQuery):
-            unsent = self.connections.has_unsent()
-            self.loop.post(message.sender, IdleReply(not self.calls and not unsent))
+            is_idle = not self.calls and self.connections.is_idle()
+            self.loop.post(message.sender, IdleReply(is_idle))
 
     # Requests from callers.
 
@@ -273,6 +277,16 @@
                 self.offers.suspect_host(forwarding.view)
         self._finish(call, "time_over", refusal)
 
+    def _end_calls(self):
+        """Answer the requests that upstreams have not answered in a shutdown."""
+        for call in list(self.calls.values()):
+            self._end_call(call)
+        self.connections.refuse_unread(node_stopping())
+
+    def _end_call(self, call):
+        self.offers.withdraw(call)
+        self._finish(call, "time_over", not_finished())
+
     def _respond(self, call, response):
         headers = end_to_end_headers(response.headers, PEER_HEADERS)
         self._remove(call)
--- a/packages/cyclamentally-calls/cyclamentally_calls/process_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/process_task.py
@@ -9,11 +9,13 @@
 from cyclamentally.shutdown import (
     AnnounceShutdown,
     CheckIdle,
+    CloseConnections,
+    EndUnanswered,
     ExitProcess,
-    StopAccepting,
 )
 from cyclamentally_calls.call_events import (
     DrainConnections,
+    EndRequests,
     IdleQuery,
     IdleReply,
     ServiceChanged,
@@ -119,7 +121,9 @@
             self.loop.call_after(effect.delay_s, lambda: self._fire(event))
         elif isinstance(effect, AnnounceShutdown):
             self._broadcast(self.subscribers, ShutdownStarted())
-        elif isinstance(effect, StopAccepting):
+        elif isinstance(effect, EndUnanswered):
+            self._broadcast(self.request_tasks, EndRequests())
+        elif isinstance(effect, CloseConnections):
             self._broadcast(self.request_tasks, DrainConnections())
         elif isinstance(effect, CheckIdle):
             self.pending_replies = len(self.request_tasks)
--- a/packages/cyclamentally-calls/cyclamentally_calls/server_connection.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/server_connection.py
@@ -96,9 +96,14 @@
         self.stream.read_pending()
         self.fire("drain")
 
-    def has_unsent(self):
-        """Whether bytes of a response have not been sent yet."""
-        return self.stream.is_open and self.stream.has_unsent()
+    def is_pending(self):
+        """Whether a request is being read or answered, or a response being sent."""
+        return not self.is_unused(None) or self.stream.has_unsent()
+
+    def refuse_unread(self, refusal):
+        """Refuse the request that is being read, if there is one."""
+        if self.parser.in_message:
+            self._reject(refusal.kind, refusal.detail)
 
     def on_connected(self):
         """Do nothing: accepted sockets are connected."""
@@ -162,7 +167,7 @@
     def on_request(self, request):
         """Queue a complete request and start those that may run."""
         self.message_started = None
-        if self.state not in ("open", "finishing") or self.parser.error:
+        if self.state in ("lingering", "closed") or self.parser.error:
             return
         if len(self.exchanges) >= MAX_PENDING_REQUESTS:
             self._reject(
--- a/packages/cyclamentally-node/cyclamentally_node/calls_task.py
+++ b/packages/cyclamentally-node/cyclamentally_node/calls_task.py
@@ -161,8 +161,8 @@
             if call is not None and not call.is_claimed:
                 self._handle_verdict(call, message.verdict)
         elif isinstance(message, CountInFlight):
-            unsent = sum(c.has_unsent() for c in self.connections)
-            message.future.set(len(self.calls) + unsent)
+            pending = sum(c.is_pending() for c in self.connections)
+            message.future.set(max(len(self.calls), pending))
 
     # Requests of callers.
 
--- a/packages/cyclamentally/cyclamentally/errors.py
+++ b/packages/cyclamentally/cyclamentally/errors.py
@@ -40,6 +40,7 @@
     CANCELLED = "cancelled"
     NOT_READY = "not_ready"
     STOPPING = "stopping"
+    ENDED_BY_SHUTDOWN = "ended_by_shutdown"
     MESSAGE_MALFORMED = "message_malformed"
     MESSAGE_TOO_LARGE = "message_too_large"
     TRANSFER_BUSY = "transfer_busy"
@@ -110,6 +111,7 @@
     Kind.CANCELLED: Answer(499, Ran.UNKNOWN, None, EXIT_UNKNOWN),
     Kind.NOT_READY: Answer(503, Ran.NO, 1, EXIT_UNAVAILABLE),
     Kind.STOPPING: Answer(503, Ran.NO, 1, EXIT_UNAVAILABLE),
+    Kind.ENDED_BY_SHUTDOWN: Answer(504, Ran.UNKNOWN, None, EXIT_UNKNOWN),
     Kind.MESSAGE_MALFORMED: Answer(400, Ran.NO, None, EXIT_INPUT),
     Kind.MESSAGE_TOO_LARGE: Answer(413, Ran.NO, None, EXIT_INPUT),
     Kind.TRANSFER_BUSY: Answer(503, Ran.NO, 1, EXIT_UNAVAILABLE),
