--- a/packages/cyclamentally-calls/cyclamentally_calls/accepted_connections.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/accepted_connections.py
@@ -5,6 +5,10 @@
 from cyclamentally_calls.server_connection import ServerConnection
 from cyclamentally_calls.stream import Listener
 
+# A client that has just connected, or received a response, may be sending a request;
+# longer than a round trip between regions.
+QUIET_S = 0.1
+
 
 @runs_chart("accepted_connections", "cyclamentally_calls.charts")
 class AcceptedConnections:
@@ -72,14 +76,25 @@
         """Fire an event of the state chart."""
         self.chart.fire(self, event)
 
+    def retire_all(self, message):
+        """Close each connection with its next response."""
+        for connection in list(self.opened):
+            connection.fire("retire")
+
     def stop_listening(self, message):
         """Accept no more connections than those that are established already."""
         self.listener.close()
 
     def drain_all(self, message):
-        """Answer what each connection has sent already, then close it."""
+        """Answer what each connection has sent already, then close it.
+
+        Those that have just been in use are given the time to send a request.
+        """
+        since = self.loop.clock() - QUIET_S
         for connection in list(self.opened):
-            connection.drain()
+            if not connection.is_in_use(since):
+                connection.drain()
+        self.loop.call_after(QUIET_S, self._drain_rest)
 
     def refuse_unread(self, refusal):
         """Refuse the requests that are being read."""
@@ -87,10 +102,11 @@
             connection.refuse_unread(refusal)
 
     def is_idle(self):
-        """Whether nothing is being read or sent; when draining, whether all closed."""
+        """Whether nothing is or will soon be read or sent; if draining, all closed."""
         if self.state == "draining":
             return not self.opened
-        return not any(connection.is_pending() for connection in self.opened)
+        since = self.loop.clock() - QUIET_S
+        return not any(c.is_pending() or c.is_in_use(since) for c in self.opened)
 
     def remove(self, connection):
         """Remove a closed connection."""
@@ -101,6 +117,12 @@
             self.loop, accepted, self.handler, self.limits, self.pacer
         )
         self.opened.add(connection)
+        if self.state == "retiring":
+            connection.fire("retire")
+
+    def _drain_rest(self):
+        for connection in list(self.opened):
+            connection.drain()
 
     def _log_unfinished(self):
         """Log what ends with the connections, for the trace of a planned stop."""
--- a/packages/cyclamentally-calls/cyclamentally_calls/call_events.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/call_events.py
@@ -193,6 +193,12 @@
         self.service = service
 
 
+class RetireConnections(Record):
+    """Shutdown: each connection is closed with its next response."""
+
+    __slots__ = ()
+
+
 class DrainConnections(Record):
     """Shutdown: accept no connections; close all after what they have sent."""
 
@@ -233,9 +239,21 @@
 
 
 class ShutdownStarted(Record):
-    """Shutdown has begun: readiness fails and the upstream is withdrawn."""
+    """Shutdown has begun: readiness fails and the upstream is withdrawn.
 
-    __slots__ = ()
+    Parameters
+    ----------
+    accept_until : float
+        Until when any request of a caller is passed on, time in seconds.
+    finish_by : float
+        When `EndRequests` follows, time in seconds.
+    """
+
+    __slots__ = ("accept_until", "finish_by")
+
+    def __init__(self, accept_until, finish_by):
+        self.accept_until = accept_until
+        self.finish_by = finish_by
 
 
 class RepeatedRunChanged(Record):
--- a/packages/cyclamentally-calls/cyclamentally_calls/caller_codec.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/caller_codec.py
@@ -45,6 +45,14 @@
     return kept
 
 
+def retry_after_s(refusal):
+    """Return the wait to name to the caller, in seconds; None if a retry is useless."""
+    if refusal.answer.retry_after is None:
+        return None
+    wait = refusal.wait or DEFAULT_WAITS_S.get(refusal.kind, DEFAULT_RETRY_AFTER_S)
+    return max(MIN_RETRY_AFTER_S, wait)
+
+
 def refusal_response(request, refusal, names):
     """Return the `Response` for a refusal.
 
@@ -59,9 +67,8 @@
     """
     answer = refusal.answer
     headers = [(b"Content-Type", b"text/plain")]
-    if answer.retry_after is not None:
-        wait = refusal.wait or DEFAULT_WAITS_S.get(refusal.kind, DEFAULT_RETRY_AFTER_S)
-        wait = max(MIN_RETRY_AFTER_S, wait)
+    wait = retry_after_s(refusal)
+    if wait is not None:
         headers.append((b"Retry-After", b"%.3f" % wait))
     echo = request.find(names.request_id.lower) if request is not None else b""
     if echo:
--- a/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
@@ -170,7 +170,13 @@
         )
         self.store.subscribers = [self.outbound, self.gate, self.control, self.feed]
         self.process.request_tasks = [self.outbound, self.gate]
-        self.process.subscribers = [self.control, self.gate, self.store, self.feed]
+        self.process.subscribers = [
+            self.control,
+            self.gate,
+            self.outbound,
+            self.store,
+            self.feed,
+        ]
 
     @property
     def tasks(self):
--- a/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
@@ -16,13 +16,16 @@
     IdleReply,
     OfferDone,
     RepeatedRunChanged,
+    RetireConnections,
     RoutesReplaced,
     ServiceChanged,
+    ShutdownStarted,
 )
 from cyclamentally_calls.caller_codec import (
     find_rule,
     forwarded_headers,
     refusal_response,
+    retry_after_s,
     time_left_of,
 )
 from cyclamentally_calls.calls import (
@@ -138,13 +141,17 @@
             self.intake.repeated_runs.update(message.request_id, message.is_running)
         elif isinstance(message, ServiceChanged):
             self.service = message.service
+        elif isinstance(message, ShutdownStarted):
+            late_requests = self.intake.late_requests
+            late_requests.start_shutdown(message.accept_until, message.finish_by)
+        elif isinstance(message, RetireConnections):
+            self.connections.fire("retire")
         elif isinstance(message, EndRequests):
             self._end_calls()
         elif isinstance(message, DrainConnections):
             self.connections.fire("drain")
         elif isinstance(message, IdleQuery):
-            is_idle = not self.calls and self.connections.is_idle()
-            self.loop.post(message.sender, IdleReply(is_idle))
+            self.loop.post(message.sender, IdleReply(self._is_idle()))
 
     # Requests from callers.
 
@@ -199,6 +206,9 @@
     def refuse(self, request, refusal):
         """Count a refused request and return its response."""
         self.counters.add("requests_refused_total", refusal.kind)
+        wait = retry_after_s(refusal)
+        if wait is not None:
+            self.intake.returns.note(wait, self.loop.clock())
         return refusal_response(request, refusal, self.names)
 
     def _replace_routes(self, table):
@@ -213,6 +223,9 @@
         if now >= forwarding.expires:
             self._finish(call, "time_over", time_over(forwarding.service))
             return
+        if not self.intake.late_requests.may_start(now, forwarding.expires):
+            self._finish(call, "no_place", node_stopping())
+            return
         entries = self.hosts.get(forwarding.service, ())
         view = self.upstreams.choose(entries, forwarding.rule, forwarding.tried, now)
         if view is None:
@@ -277,6 +290,12 @@
                 self.offers.suspect_host(forwarding.view)
         self._finish(call, "time_over", refusal)
 
+    def _is_idle(self):
+        if self.calls or not self.connections.is_idle():
+            return False
+        is_draining = self.connections.state == "draining"
+        return is_draining or not self.intake.returns.are_due(self.loop.clock())
+
     def _end_calls(self):
         """Answer the requests that upstreams have not answered in a shutdown."""
         for call in list(self.calls.values()):
--- a/packages/cyclamentally-calls/cyclamentally_calls/process_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/process_task.py
@@ -12,12 +12,14 @@
     CloseConnections,
     EndUnanswered,
     ExitProcess,
+    StopReuse,
 )
 from cyclamentally_calls.call_events import (
     DrainConnections,
     EndRequests,
     IdleQuery,
     IdleReply,
+    RetireConnections,
     ServiceChanged,
     ShutdownStarted,
 )
@@ -120,7 +122,11 @@
             event = effect.event
             self.loop.call_after(effect.delay_s, lambda: self._fire(event))
         elif isinstance(effect, AnnounceShutdown):
-            self._broadcast(self.subscribers, ShutdownStarted())
+            now = self.loop.clock()
+            started = ShutdownStarted(now + effect.accept_s, now + effect.finish_s)
+            self._broadcast(self.subscribers, started)
+        elif isinstance(effect, StopReuse):
+            self._broadcast(self.request_tasks, RetireConnections())
         elif isinstance(effect, EndUnanswered):
             self._broadcast(self.request_tasks, EndRequests())
         elif isinstance(effect, CloseConnections):
--- a/packages/cyclamentally-calls/cyclamentally_calls/server_connection.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/server_connection.py
@@ -100,6 +100,11 @@
         """Whether a request is being read or answered, or a response being sent."""
         return not self.is_unused(None) or self.stream.has_unsent()
 
+    def is_in_use(self, since):
+        """Whether requests are accepted and the last activity was after a time."""
+        is_accepting = self.state in ("open", "retiring")
+        return is_accepting and self.last_activity > since
+
     def refuse_unread(self, refusal):
         """Refuse the request that is being read, if there is one."""
         if self.parser.in_message:
@@ -177,7 +182,7 @@
             return
         exchange = Exchange(self, request, self.loop.clock())
         self.exchanges.append(exchange)
-        if not request.keep_alive:
+        if not request.keep_alive or self.state == "retiring":
             self.fire("last_request")
         self._start_exchanges()
 
@@ -241,7 +246,7 @@
 
     def _handle_parse_error(self):
         """Refuse malformed bytes; ignore them after the last request."""
-        if self.state == "open":
+        if self.state in ("open", "retiring"):
             self._reject(Kind.BAD_REQUEST, self.parser.error)
         elif self.parser.in_message:
             self.parser.in_message = False
--- a/packages/cyclamentally/cyclamentally/intake.py
+++ b/packages/cyclamentally/cyclamentally/intake.py
@@ -3,7 +3,8 @@
 from cyclamentally.budgets import RetryBudgets
 from cyclamentally.forwarding import Forwarding
 from cyclamentally.repeated_runs import RepeatedRuns
-from cyclamentally.returning_callers import CallerDeadlines
+from cyclamentally.returning_callers import CallerDeadlines, ExpectedReturns
+from cyclamentally.shutdown import LateRequests
 
 
 class Intake:
@@ -15,11 +16,20 @@
         Retry budget of each service.
     """
 
-    __slots__ = ("budgets", "deadlines", "number", "repeated_runs")
+    __slots__ = (
+        "budgets",
+        "deadlines",
+        "late_requests",
+        "number",
+        "repeated_runs",
+        "returns",
+    )
 
     def __init__(self, budget_rule):
         self.budgets = RetryBudgets(budget_rule)
         self.deadlines = CallerDeadlines()
+        self.late_requests = LateRequests()
+        self.returns = ExpectedReturns()
         self.repeated_runs = RepeatedRuns()
         self.number = 0
 
--- a/packages/cyclamentally/cyclamentally/returning_callers.py
+++ b/packages/cyclamentally/cyclamentally/returning_callers.py
@@ -8,6 +8,10 @@
 # Clients that connect or send slowly have a little less time left than others. A
 # refusal and the wait that it names take longer.
 MIN_ELAPSED_S = 0.04
+# Callers with a longer wait are not expected before the process has restarted.
+MAX_RETURN_WAIT_S = 0.8
+# Time beyond the wait in which a caller connects and sends its request.
+RETURN_MARGIN_S = 0.1
 # Bounds the memory; configurations have up to 2,000 routes.
 MAX_KNOWN_ROUTES = 256
 
@@ -40,3 +44,25 @@
             self.longest[route] = left_s
             return False
         return longest - left_s >= MIN_ELAPSED_S
+
+
+class ExpectedReturns:
+    """Until when callers that were refused are expected to come back.
+
+    A node that is shutting down stays that long: its callers would find the port
+    closed at the time that the node has named to them.
+    """
+
+    __slots__ = ("until",)
+
+    def __init__(self):
+        self.until = 0.0
+
+    def note(self, wait_s, now):
+        """Note that a caller was told to come back after a wait; times in seconds."""
+        if wait_s <= MAX_RETURN_WAIT_S:
+            self.until = max(self.until, now + wait_s + RETURN_MARGIN_S)
+
+    def are_due(self, now):
+        """Whether a caller may still come back."""
+        return now < self.until
--- a/packages/cyclamentally/cyclamentally/shutdown.py
+++ b/packages/cyclamentally/cyclamentally/shutdown.py
@@ -1,5 +1,7 @@
 """Graceful shutdown of a node process."""
 
+from math import inf
+
 from cyclamentally.chart import runs_chart
 from cyclamentally.effects import StartTimer
 from cyclamentally.errors import Kind, Refused
@@ -9,9 +11,11 @@
 DEREGISTRATION_DELAY_S = 2.3
 # Shorter than a request, so that the process ends soon after the last one.
 IDLE_CHECK_INTERVAL_S = 0.05
-# Shares of the grace period. After the drain, unanswered requests are ended; the rest
-# is for the delivery of responses and for delays on a busy processor.
+# Shares of the grace period. Callers are accepted without conditions in the first
+# half; after the drain, unanswered requests are ended; the rest is for the delivery
+# of responses and for delays on a busy processor.
 DEREGISTRATION_SHARE_OF_GRACE = 0.4
+ACCEPT_SHARE_OF_GRACE = 0.5
 DRAIN_SHARE_OF_GRACE = 0.85
 EXIT_SHARE_OF_GRACE = 0.95
 # About the time that the platform takes to start the process again.
@@ -19,7 +23,25 @@
 
 
 class AnnounceShutdown(Record):
-    """Effect: tell all tasks that the node is shutting down."""
+    """Effect: tell all tasks that the node is shutting down.
+
+    Parameters
+    ----------
+    accept_s : float
+        For how long any request is passed on, in seconds.
+    finish_s : float
+        Time until unanswered requests are ended, in seconds.
+    """
+
+    __slots__ = ("accept_s", "finish_s")
+
+    def __init__(self, accept_s, finish_s):
+        self.accept_s = accept_s
+        self.finish_s = finish_s
+
+
+class StopReuse(Record):
+    """Effect: close each connection with its next response."""
 
     __slots__ = ()
 
@@ -74,12 +96,16 @@
         drain_s = DRAIN_SHARE_OF_GRACE * grace_s
         leave_s = min(DEREGISTRATION_DELAY_S, DEREGISTRATION_SHARE_OF_GRACE * grace_s)
         return [
-            AnnounceShutdown(),
+            AnnounceShutdown(ACCEPT_SHARE_OF_GRACE * grace_s, drain_s),
             StartTimer("callers_left", leave_s),
             StartTimer("time_over", drain_s),
             StartTimer("exit_due", EXIT_SHARE_OF_GRACE * grace_s),
         ]
 
+    def stop_reuse(self, message):
+        """Let callers open new connections, which may lead to another node."""
+        return [StopReuse()]
+
     def close_connections(self, message):
         """Close the connections once their responses are delivered."""
         return [CloseConnections()]
@@ -101,6 +127,37 @@
         return [ExitProcess()]
 
 
+class LateRequests:
+    """Decides which requests a node that is shutting down still passes on.
+
+    Early in the shutdown all are: few of them last until its end. Later ones only if
+    their deadline comes first, so that none of them is cut off at an upstream.
+    """
+
+    __slots__ = ("accept_until", "finish_by")
+
+    def __init__(self):
+        self.accept_until = inf
+        self.finish_by = inf
+
+    def start_shutdown(self, accept_until, finish_by):
+        """Note the limits of a shutdown.
+
+        Parameters
+        ----------
+        accept_until : float
+            Until when any request is passed on, time in seconds.
+        finish_by : float
+            When unanswered requests are ended, time in seconds.
+        """
+        self.accept_until = accept_until
+        self.finish_by = finish_by
+
+    def may_start(self, now, expires):
+        """Whether a request with a deadline may be passed on; times in seconds."""
+        return now <= self.accept_until or expires <= self.finish_by
+
+
 def node_stopping():
     """Return the refusal of a request that comes too late in a shutdown."""
     return Refused(Kind.STOPPING, "node is stopping", RESTART_TIME_S)
--- a/packages/cyclamentally/cyclamentally/tests/test_returning_callers.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_returning_callers.py
@@ -12,7 +12,11 @@
 from cyclamentally.hosts import HostEntry, UpstreamEntry
 from cyclamentally.intake import Intake
 from cyclamentally.placing import UpstreamView
-from cyclamentally.returning_callers import MAX_KNOWN_ROUTES, CallerDeadlines
+from cyclamentally.returning_callers import (
+    MAX_KNOWN_ROUTES,
+    CallerDeadlines,
+    ExpectedReturns,
+)
 from cyclamentally.routes import Destination, RequestKind, RouteRule
 
 NODES = 24
@@ -117,3 +121,18 @@
     for number in range(MAX_KNOWN_ROUTES + 10):
         deadlines.is_returning(f"r{number}", 5.0)
     assert len(deadlines.longest) == MAX_KNOWN_ROUTES
+
+
+def test_refused_callers_are_expected_until_their_wait_is_over():
+    returns = ExpectedReturns()
+    assert not returns.are_due(1.0)
+    returns.note(0.3, 1.0)
+    returns.note(0.1, 1.1)
+    assert returns.are_due(1.3)
+    assert not returns.are_due(1.5)
+
+
+def test_callers_with_a_long_wait_do_not_hold_up_a_shutdown():
+    returns = ExpectedReturns()
+    returns.note(5.0, 1.0)
+    assert not returns.are_due(1.0)
