--- a/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
@@ -169,6 +169,7 @@
             self.loop.post(message.sender, IdleReply(is_idle))
         elif isinstance(message, ShutdownStarted):
             self._carry_out(self.gate.stop())
+            self._publish()
             self.connections.fire("retire")
         elif isinstance(message, EndRequests):
             self._end_works()
--- a/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
@@ -170,13 +170,8 @@
         )
         self.store.subscribers = [self.outbound, self.gate, self.control, self.feed]
         self.process.request_tasks = [self.outbound, self.gate]
-        self.process.subscribers = [
-            self.control,
-            self.gate,
-            self.outbound,
-            self.store,
-            self.feed,
-        ]
+        self.process.subscribers = [self.control, self.gate, self.outbound, self.feed]
+        self.process.closing_tasks = [self.outbound, self.gate, self.store]
 
     @property
     def tasks(self):
--- a/packages/cyclamentally-calls/cyclamentally_calls/process_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/process_task.py
@@ -48,6 +48,7 @@
     """
 
     __slots__ = (
+        "closing_tasks",
         "request_tasks",
         "is_idle",
         "subscribers",
@@ -67,9 +68,11 @@
         self.read_service = read_service
         self.service = service
         self.log = log
-        # Tasks that are told of the shutdown, and tasks that carry requests.
+        # Tasks that are told of the shutdown, tasks that carry requests, and tasks
+        # that have something to close before the process exits.
         self.subscribers = []
         self.request_tasks = []
+        self.closing_tasks = []
         self.pending_replies = 0
         self.is_idle = True
         self.wakeup_reader, self.wakeup_writer = socketpair()
@@ -130,7 +133,7 @@
         elif isinstance(effect, EndUnanswered):
             self._broadcast(self.request_tasks, EndRequests())
         elif isinstance(effect, CloseConnections):
-            self._broadcast(self.request_tasks, DrainConnections())
+            self._broadcast(self.closing_tasks, DrainConnections())
         elif isinstance(effect, CheckIdle):
             self.pending_replies = len(self.request_tasks)
             self.is_idle = True
--- a/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
@@ -9,6 +9,7 @@
 from cyclamentally.store_outcomes import WATCH_EVENTS, Page, StoredItem
 from cyclamentally.watching import AwaitChanges, ReadPage, Watch
 from cyclamentally_calls.call_events import (
+    DrainConnections,
     HostFailed,
     HostsReplaced,
     ItemsRelayed,
@@ -18,7 +19,6 @@
     PeerStateRequest,
     RelayRoleChanged,
     RoutesReplaced,
-    ShutdownStarted,
     SourceChanged,
     StoreLeft,
     StoreResumed,
@@ -180,7 +180,7 @@
         elif isinstance(message, PeerStateRequest):
             reply = PeerReply(message.exchange, self._encode_state())
             self.loop.post(message.sender, reply)
-        elif isinstance(message, ShutdownStarted):
+        elif isinstance(message, DrainConnections):
             self.registration.fire("leave")
 
     # Sinks of the watches.
--- a/packages/cyclamentally/cyclamentally/publication.py
+++ b/packages/cyclamentally/cyclamentally/publication.py
@@ -20,11 +20,14 @@
             The gate of the upstream.
         """
         heartbeat = gate.heartbeat
-        if heartbeat is None or gate.state == "stopped":
+        if heartbeat is None:
             return None
         is_open = gate.state == "open"
         if self.published is None and not is_open:
             return None
+        if gate.state == "stopped" and self.published.is_leaving:
+            # Tells a later process of this node which lifetime has departed.
+            return None
         entry = UpstreamEntry(
             heartbeat.upstream,
             heartbeat.service,
