--- a/packages/cyclamentally-calls/cyclamentally_calls/accepted_connections.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/accepted_connections.py
@@ -1,12 +1,18 @@
 """The listener of a task and the connections that it has accepted."""
 
+from cyclamentally.chart import runs_chart
 from cyclamentally_calls.calls import request_id_of
 from cyclamentally_calls.server_connection import ServerConnection
 from cyclamentally_calls.stream import Listener
 
+# A client that has just connected, or received a response, may be sending a request;
+# longer than a round trip between regions.
+QUIET_S = 0.1
 
+
+@runs_chart("accepted_connections", "cyclamentally_calls.charts")
 class AcceptedConnections:
-    """Owns the listener and the accepted connections of a task.
+    """Owns the listener and the connections of a task; runs ``accepted_connections``.
 
     Parameters
     ----------
@@ -35,6 +41,7 @@
         "loop",
         "opened",
         "pacer",
+        "state",
     )
 
     def __init__(self, loop, address, handler, limits, counters, log, pacer=None):
@@ -45,6 +52,7 @@
         self.log = log
         self.pacer = pacer
         self.opened = set()
+        self.state = self.chart.initial
         self.listener = Listener(loop, address, self._accept, log.listener_failed)
 
     def start(self):
@@ -54,7 +62,7 @@
     def close(self):
         """Close all sockets; requests without a response are logged."""
         self.listener.close()
-        self._log_unfinished()
+        self.loop.attempt(self._log_unfinished)
         for connection in list(self.opened):
             connection.fire("ended")
 
@@ -64,15 +72,41 @@
         for connection in self.opened:
             connection.limits = limits
 
-    def drain(self):
-        """Accept no more connections; close each after the requests it has sent."""
+    def fire(self, event):
+        """Fire an event of the state chart."""
+        self.chart.fire(self, event)
+
+    def retire_all(self, message):
+        """Close each connection with its next response."""
+        for connection in list(self.opened):
+            self.loop.attempt(connection.fire, "retire")
+
+    def stop_listening(self, message):
+        """Accept no more connections than those that are established already."""
         self.loop.attempt(self.listener.close)
+
+    def drain_all(self, message):
+        """Answer what each connection has sent already, then close it.
+
+        Those that have just been in use are given the time to send a request.
+        """
+        since = self.loop.clock() - QUIET_S
         for connection in list(self.opened):
-            self.loop.attempt(connection.drain)
+            if not connection.is_in_use(since):
+                self.loop.attempt(connection.drain)
+        self.loop.call_after(QUIET_S, self._drain_rest)
+
+    def refuse_unread(self, refusal):
+        """Refuse the requests that are being read."""
+        for connection in list(self.opened):
+            self.loop.attempt(connection.refuse_unread, refusal)
 
-    def has_unsent(self):
-        """Whether bytes of a response have not been sent yet."""
-        return any(connection.has_unsent() for connection in self.opened)
+    def is_idle(self):
+        """Whether nothing is or will soon be read or sent; if draining, all closed."""
+        if self.state == "draining":
+            return not self.opened
+        since = self.loop.clock() - QUIET_S
+        return not any(c.is_pending() or c.is_in_use(since) for c in self.opened)
 
     def remove(self, connection):
         """Remove a closed connection."""
@@ -83,6 +117,12 @@
             self.loop, accepted, self.handler, self.limits, self.pacer
         )
         self.opened.add(connection)
+        if self.state == "retiring":
+            self.loop.attempt(connection.fire, "retire")
+
+    def _drain_rest(self):
+        for connection in list(self.opened):
+            self.loop.attempt(connection.drain)
 
     def _log_unfinished(self):
         """Log what ends with the connections, for the trace of a planned stop."""
@@ -99,6 +139,6 @@
             cut=len(cut),
             reading=sum(c.parser.in_message for c in self.opened),
             unread=len(unread),
-            unsent=sum(c.has_unsent() for c in self.opened),
+            unsent=sum(c.stream.has_unsent() for c in self.opened),
             lingering=sum(c.state == "lingering" for c in self.opened),
         )
--- a/packages/cyclamentally-calls/cyclamentally_calls/call_events.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/call_events.py
@@ -193,8 +193,20 @@
         self.service = service
 
 
+class RetireConnections(Record):
+    """Shutdown: each connection is closed with its next response."""
+
+    __slots__ = ()
+
+
 class DrainConnections(Record):
-    """Shutdown: stop accepting callers and drain their connections."""
+    """Shutdown: accept no connections; close all after what they have sent."""
+
+    __slots__ = ()
+
+
+class EndRequests(Record):
+    """Shutdown: the time for requests in flight is over; they are answered now."""
 
     __slots__ = ()
 
@@ -215,7 +227,10 @@
 
 
 class IdleReply(Record):
-    """Reply to `IdleQuery`: idle means no requests and no unsent responses."""
+    """Reply to `IdleQuery`: idle means no requests and no unsent responses.
+
+    Once connections are drained, it also means that all of them are closed.
+    """
 
     __slots__ = ("is_idle",)
 
@@ -224,9 +239,21 @@
 
 
 class ShutdownStarted(Record):
-    """Shutdown has begun: readiness fails and the upstream is withdrawn."""
+    """Shutdown has begun: readiness fails and the upstream is withdrawn.
 
-    __slots__ = ()
+    Parameters
+    ----------
+    accept_until : float
+        Until when any request of a caller is passed on, time in seconds.
+    finish_by : float
+        When `EndRequests` follows, time in seconds.
+    """
+
+    __slots__ = ("accept_until", "finish_by")
+
+    def __init__(self, accept_until, finish_by):
+        self.accept_until = accept_until
+        self.finish_by = finish_by
 
 
 class RepeatedRunChanged(Record):
--- a/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
@@ -7,22 +7,27 @@
 from cyclamentally.intake import Intake
 from cyclamentally.placing import pause_for_refusal
 from cyclamentally.routes import DEFAULT_LIMITS
+from cyclamentally.shutdown import node_stopping, not_finished
 from cyclamentally_calls.accepted_connections import AcceptedConnections
 from cyclamentally_calls.call_events import (
     CallNotRetried,
     DrainConnections,
+    EndRequests,
     HostsReplaced,
     IdleQuery,
     IdleReply,
     OfferDone,
     RepeatedRunChanged,
+    RetireConnections,
     RoutesReplaced,
     ServiceChanged,
+    ShutdownStarted,
 )
 from cyclamentally_calls.caller_codec import (
     find_rule,
     forwarded_headers,
     refusal_response,
+    retry_after_s,
     time_left_of,
 )
 from cyclamentally_calls.calls import (
@@ -138,11 +143,17 @@
             self.intake.repeated_runs.update(message.request_id, message.is_running)
         elif isinstance(message, ServiceChanged):
             self.service = message.service
+        elif isinstance(message, ShutdownStarted):
+            late_requests = self.intake.late_requests
+            late_requests.start_shutdown(message.accept_until, message.finish_by)
+        elif isinstance(message, RetireConnections):
+            self.connections.fire("retire")
+        elif isinstance(message, EndRequests):
+            self._end_calls()
         elif isinstance(message, DrainConnections):
-            self.connections.drain()
+            self.connections.fire("drain")
         elif isinstance(message, IdleQuery):
-            unsent = self.connections.has_unsent()
-            self.loop.post(message.sender, IdleReply(not self.calls and not unsent))
+            self.loop.post(message.sender, IdleReply(self._is_idle()))
 
     # Requests from callers.
 
@@ -196,6 +207,9 @@
     def refuse(self, request, refusal):
         """Count a refused request and return its response."""
         self.counters.add("requests_refused_total", refusal.kind)
+        wait = retry_after_s(refusal)
+        if wait is not None:
+            self.intake.returns.note(wait, self.loop.clock())
         return refusal_response(request, refusal, self.names)
 
     def _replace_routes(self, table):
@@ -243,6 +257,9 @@
         if now >= forwarding.expires:
             self._finish(call, "time_over", time_over(forwarding.service))
             return
+        if not self.intake.late_requests.may_start(now, forwarding.expires):
+            self._finish(call, "no_place", node_stopping())
+            return
         entries = self.hosts.get(forwarding.service, ())
         view = self.upstreams.choose(entries, forwarding.rule, forwarding.tried, now)
         if view is None:
@@ -315,6 +332,22 @@
         if call.exchange.response is None:
             self._fail(call)
 
+    def _is_idle(self):
+        if self.calls or not self.connections.is_idle():
+            return False
+        is_draining = self.connections.state == "draining"
+        return is_draining or not self.intake.returns.are_due(self.loop.clock())
+
+    def _end_calls(self):
+        """Answer the requests that upstreams have not answered in a shutdown."""
+        for call in list(self.calls.values()):
+            self._end_call(call)
+        self.connections.refuse_unread(node_stopping())
+
+    def _end_call(self, call):
+        self.offers.withdraw(call)
+        self._finish(call, "time_over", not_finished())
+
     def _respond(self, call, response):
         headers = end_to_end_headers(response.headers, PEER_HEADERS)
         self._remove(call)
--- a/packages/cyclamentally-calls/cyclamentally_calls/process_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/process_task.py
@@ -9,13 +9,17 @@
 from cyclamentally.shutdown import (
     AnnounceShutdown,
     CheckIdle,
+    CloseConnections,
+    EndUnanswered,
     ExitProcess,
-    StopAccepting,
+    StopReuse,
 )
 from cyclamentally_calls.call_events import (
     DrainConnections,
+    EndRequests,
     IdleQuery,
     IdleReply,
+    RetireConnections,
     ServiceChanged,
     ShutdownStarted,
 )
@@ -44,6 +48,7 @@
     """
 
     __slots__ = (
+        "closing_tasks",
         "request_tasks",
         "is_idle",
         "subscribers",
@@ -63,9 +68,11 @@
         self.read_service = read_service
         self.service = service
         self.log = log
-        # Tasks that are told of the shutdown, and tasks that carry requests.
+        # Tasks that are told of the shutdown, tasks that carry requests, and tasks
+        # that have something to close before the process exits.
         self.subscribers = []
         self.request_tasks = []
+        self.closing_tasks = []
         self.pending_replies = 0
         self.is_idle = True
         self.wakeup_reader, self.wakeup_writer = socketpair()
@@ -118,9 +125,15 @@
             event = effect.event
             self.loop.call_after(effect.delay_s, lambda: self._fire(event))
         elif isinstance(effect, AnnounceShutdown):
-            self._broadcast(self.subscribers, ShutdownStarted())
-        elif isinstance(effect, StopAccepting):
-            self._broadcast(self.request_tasks, DrainConnections())
+            now = self.loop.clock()
+            started = ShutdownStarted(now + effect.accept_s, now + effect.finish_s)
+            self._broadcast(self.subscribers, started)
+        elif isinstance(effect, StopReuse):
+            self._broadcast(self.request_tasks, RetireConnections())
+        elif isinstance(effect, EndUnanswered):
+            self._broadcast(self.request_tasks, EndRequests())
+        elif isinstance(effect, CloseConnections):
+            self._broadcast(self.closing_tasks, DrainConnections())
         elif isinstance(effect, CheckIdle):
             self.pending_replies = len(self.request_tasks)
             self.is_idle = True
--- a/packages/cyclamentally-calls/cyclamentally_calls/server_connection.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/server_connection.py
@@ -98,9 +98,19 @@
         self.stream.read_pending()
         self.fire("drain")
 
-    def has_unsent(self):
-        """Whether bytes of a response have not been sent yet."""
-        return self.stream.is_open and self.stream.has_unsent()
+    def is_pending(self):
+        """Whether a request is being read or answered, or a response being sent."""
+        return not self.is_unused(None) or self.stream.has_unsent()
+
+    def is_in_use(self, since):
+        """Whether requests are accepted and the last activity was after a time."""
+        is_accepting = self.state in ("open", "retiring")
+        return is_accepting and self.last_activity > since
+
+    def refuse_unread(self, refusal):
+        """Refuse the request that is being read, if there is one."""
+        if self.parser.in_message:
+            self._reject(refusal.kind, refusal.detail)
 
     def on_connected(self):
         """Do nothing: accepted sockets are connected."""
@@ -164,7 +174,7 @@
     def on_request(self, request):
         """Queue a complete request and start those that may run."""
         self.message_started = None
-        if self.state not in ("open", "finishing") or self.parser.error:
+        if self.state in ("lingering", "closed") or self.parser.error:
             return
         if len(self.exchanges) >= MAX_PENDING_REQUESTS:
             self._reject(
@@ -174,7 +184,7 @@
             return
         exchange = Exchange(self, request, self.loop.clock())
         self.exchanges.append(exchange)
-        if not request.keep_alive:
+        if not request.keep_alive or self.state == "retiring":
             self.fire("last_request")
         self._start_exchanges()
 
@@ -282,7 +292,7 @@
 
     def _handle_parse_error(self):
         """Refuse malformed bytes; ignore them after the last request."""
-        if self.state == "open":
+        if self.state in ("open", "retiring"):
             self._reject(Kind.BAD_REQUEST, self.parser.error)
         elif self.parser.in_message:
             self.parser.in_message = False
