--- a/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
@@ -319,7 +319,7 @@
         is enough. Registration has precedence: the entry has to be restored within
         two seconds.
         """
-        if watch.state != "pausing":
+        if watch.state != "pausing" or self.client.health.state == "available":
             return False
         routes = self.watches["routes"]
         has_other = watch is not routes and routes.state == "pausing"
@@ -345,7 +345,12 @@
             event = "page" if outcome.has_more else "last_page"
         else:
             event = WATCH_EVENTS[type(outcome)]
-        self._fire_watch(watch, event, outcome)
+        try:
+            self._fire_watch(watch, event, outcome)
+        except Exception:
+            # The watch would have neither a call nor a timer.
+            self._fire_watch(watch, "failed")
+            raise
 
     def _fire_watch(self, watch, event, message=None):
         self._carry_out_watch_effects(watch, watch.fire(event, message))
