--- a/packages/cyclamentally-calls/cyclamentally_calls/host_registration.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/host_registration.py
@@ -67,9 +67,11 @@
         self.renew_timeout_s = RELAY_CALL_TIMEOUT_S if is_relay else CALL_TIMEOUT_S
 
     def check_listing(self, update):
-        """Register again if a complete listing lacks the entry."""
-        is_listed = any(item.key == self.key for item in update.changes)
-        if not is_listed and update.revision >= self.decisions.written_revision:
+        """Register again if a complete listing lacks the entry or has another one."""
+        listed = next((item for item in update.changes if item.key == self.key), None)
+        if listed is not None:
+            self.check_change(listed)
+        elif update.revision >= self.decisions.written_revision:
             self.fire("vanished")
 
     def check_change(self, change):
