--- a/packages/cyclamentally/cyclamentally/gate.py
+++ b/packages/cyclamentally/cyclamentally/gate.py
@@ -147,7 +147,7 @@
             return []
         if known.upstream != upstream:
             return []
-        return self._close(now)
+        return self._close(known.started_ms, now)
 
     def on_own_entry(self, entry, now):
         """Take over the departure that an earlier process of this node has published.
@@ -165,16 +165,16 @@
         known = self.heartbeat
         if known is None or self.is_after_end(known):
             return []
-        return self._close(now)
+        return self._close(entry.started_ms, now)
 
-    def _close(self, now):
+    def _close(self, started_ms, now):
         """Handle that the current upstream has left."""
         known = self.heartbeat
         last = Heartbeat(
             known.upstream,
             known.service,
             known.address,
-            known.started_ms,
+            started_ms,
             known.sequence,
             known.slots,
             True,
--- a/packages/cyclamentally/cyclamentally/tests/test_gate.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_gate.py
@@ -12,6 +12,7 @@
     StartWork,
     Ticket,
 )
+from cyclamentally.hosts import UpstreamEntry
 from cyclamentally.publication import Publication
 
 
@@ -136,6 +137,16 @@
     assert fresh.state == "open"
 
 
+def test_later_lifetime_opens_a_gate_that_its_own_entry_closed():
+    gate = open_gate()
+    gate.on_liveness_check(heartbeat(started=0), 0.0)
+    gate.on_own_entry(UpstreamEntry("u1", "shop", 2, True, 1_000), 0.1)
+    gate.on_heartbeat(heartbeat(started=1_000, sequence=9), 0.2)
+    assert gate.state == "draining"
+    gate.on_heartbeat(heartbeat(started=2_000), 0.3)
+    assert gate.state == "open"
+
+
 def test_an_end_of_another_upstream_changes_nothing(gate):
     gate.on_upstream_ended("u0", reported_ms=5_000, now=0.1)
     assert gate.state == "open"
