--- a/packages/cyclamentally/cyclamentally/gate.py
+++ b/packages/cyclamentally/cyclamentally/gate.py
@@ -165,8 +165,7 @@
         known = self.heartbeat
         if known is None or self.is_after_end(known):
             return []
-        # A liveness check has not told when the upstream started, the entry has.
-        return self._close(known.started_ms or entry.started_ms, now)
+        return self._close(entry.started_ms, now)
 
     def _close(self, started_ms, now):
         """Handle that the current upstream has left."""
