--- a/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
@@ -146,6 +146,7 @@
             late_requests.start_shutdown(message.accept_until, message.finish_by)
         elif isinstance(message, RetireConnections):
             self.connections.fire("retire")
+            self.intake.returns.start_waiting()
         elif isinstance(message, EndRequests):
             self._end_calls()
         elif isinstance(message, DrainConnections):
--- a/packages/cyclamentally-calls/cyclamentally_calls/server_connection.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/server_connection.py
@@ -182,7 +182,7 @@
             return
         exchange = Exchange(self, request, self.loop.clock())
         self.exchanges.append(exchange)
-        if not request.keep_alive or self.state == "retiring":
+        if not request.keep_alive:
             self.fire("last_request")
         self._start_exchanges()
 
@@ -190,7 +190,7 @@
         """Send the responses that are ready, in the order of the requests."""
         while self.exchanges and self.exchanges[0].response is not None:
             exchange = self.exchanges.popleft()
-            is_last = self.state == "finishing" and not self.exchanges
+            is_last = self._is_last_response()
             self._send(exchange, is_last or exchange.closes)
             if exchange.closes:
                 self._discard_pending()
@@ -199,6 +199,12 @@
             self.fire("all_answered")
         self.last_activity = self.loop.clock()
 
+    def _is_last_response(self):
+        """Whether no response follows the one that is being sent."""
+        if self.state == "retiring":
+            return self.is_unused(None)
+        return self.state == "finishing" and not self.exchanges
+
     def _send(self, exchange, closes):
         response = exchange.response
         is_head = exchange.request is not None and exchange.request.method == b"HEAD"
--- a/packages/cyclamentally-calls/cyclamentally_calls/tests/test_server_connection.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/tests/test_server_connection.py
@@ -133,6 +133,22 @@
     assert handler.targets() == [b"/1"]
 
 
+def test_pipelined_requests_on_a_retiring_connection_are_all_answered(
+    caller, handler, pump
+):
+    caller.send(get(b"/1"))
+    pump.until(lambda: handler.exchanges)
+    connection = handler.exchanges[0].connection
+    connection.fire("retire")
+    caller.send(get(b"/2"))
+    pump.until(lambda: len(handler.exchanges) == 2)
+    handler.exchanges[0].respond(response(b"one"))
+    assert b"Connection: close" not in read_until(pump, caller, b"one")
+    handler.exchanges[1].respond(response(b"two"))
+    assert b"Connection: close" in read_until(pump, caller, b"two")
+    assert connection.state == "lingering"
+
+
 def test_chunked_body_is_reassembled(caller, handler, pump):
     caller.send(
         b"POST /1?q=%2F HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/packages/cyclamentally/cyclamentally/returning_callers.py
+++ b/packages/cyclamentally/cyclamentally/returning_callers.py
@@ -9,7 +9,7 @@
 # refusal and the wait that it names take longer.
 MIN_ELAPSED_S = 0.04
 # Callers with a longer wait are not expected before the process has restarted.
-MAX_RETURN_WAIT_S = 0.8
+MAX_RETURN_WAIT_S = 0.5
 # Time beyond the wait in which a caller connects and sends its request.
 RETURN_MARGIN_S = 0.1
 # Bounds the memory; configurations have up to 2,000 routes.
@@ -50,19 +50,25 @@
     """Until when callers that were refused are expected to come back.
 
     A node that is shutting down stays that long: its callers would find the port
-    closed at the time that the node has named to them.
+    closed at the time that the node has named to them. Those that it refuses while it
+    waits do not prolong it, which would never end under overload.
     """
 
-    __slots__ = ("until",)
+    __slots__ = ("is_waiting", "until")
 
     def __init__(self):
+        self.is_waiting = False
         self.until = 0.0
 
     def note(self, wait_s, now):
         """Note that a caller was told to come back after a wait; times in seconds."""
-        if wait_s <= MAX_RETURN_WAIT_S:
+        if wait_s <= MAX_RETURN_WAIT_S and not self.is_waiting:
             self.until = max(self.until, now + wait_s + RETURN_MARGIN_S)
 
+    def start_waiting(self):
+        """Ignore later refusals."""
+        self.is_waiting = True
+
     def are_due(self, now):
         """Whether a caller may still come back."""
         return now < self.until
--- a/packages/cyclamentally/cyclamentally/tests/test_returning_callers.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_returning_callers.py
@@ -136,3 +136,11 @@
     returns = ExpectedReturns()
     returns.note(5.0, 1.0)
     assert not returns.are_due(1.0)
+
+
+def test_refusals_during_the_wait_do_not_prolong_a_shutdown():
+    returns = ExpectedReturns()
+    returns.note(0.3, 1.0)
+    returns.start_waiting()
+    returns.note(0.3, 1.3)
+    assert not returns.are_due(1.5)
