--- a/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
@@ -13,7 +13,6 @@
     UpstreamEnded,
 )
 from cyclamentally.publication import Publication
-from cyclamentally.routes import CallerLimits
 from cyclamentally.shutdown import not_finished
 from cyclamentally_calls.accepted_connections import AcceptedConnections
 from cyclamentally_calls.call_events import (
@@ -44,6 +43,7 @@
 from cyclamentally_calls.loop import Task
 from cyclamentally_calls.pacer import Pacer
 from cyclamentally_calls.peer_codec import (
+    PEER_LIMITS,
     TICKET_HEADER,
     decode_ticket,
     encode_refusal,
@@ -54,16 +54,10 @@
 from cyclamentally_calls.work import Work, WorkTable
 
 MS_PER_S = 1_000
-# Heartbeat periods without a heartbeat after which the upstream counts as
-# unreachable; a smaller value reacts to single lost or late heartbeats.
-MAX_MISSED_HEARTBEATS = 3.5
 # Interval between checks of the queue and the heartbeat. It is shorter while
 # requests are queued, so that those that cannot be served are refused early.
 TICK_WITH_QUEUE_S = 0.05
 TICK_S = 0.25
-# Limits for requests from other nodes, whose heads carry a ticket in addition to the
-# caller's headers.
-PEER_LIMITS = CallerLimits(128 * 1024, 256 * 1024 * 1024, 5.0, 60.0)
 
 
 class GateTask(Task, RequestHandler):
@@ -401,6 +395,6 @@
         now = self.loop.clock()
         silence = now - self.gate.last_heartbeat_at
         if self.gate.state == "open":
-            if silence > MAX_MISSED_HEARTBEATS * self.local_upstream.heartbeat_s:
+            if self.local_upstream.is_silent_after(silence):
                 self._mark_unreachable("silent")
             self._carry_out(self.gate.tick(now))
--- a/packages/cyclamentally-calls/cyclamentally_calls/peer_codec.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/peer_codec.py
@@ -4,6 +4,7 @@
 
 from cyclamentally.errors import Kind, Refused
 from cyclamentally.gate_messages import Load
+from cyclamentally.routes import CallerLimits
 from cyclamentally_calls.decoding import (
     InvalidDataError,
     decode_json,
@@ -24,6 +25,9 @@
 PEER_HEADERS = frozenset(
     name.lower() for name in (TICKET_HEADER, REFUSED_HEADER, LOAD_HEADER, FINAL_HEADER)
 )
+# Limits for requests from other nodes, whose heads carry a ticket in addition to the
+# caller's headers.
+PEER_LIMITS = CallerLimits(128 * 1024, 256 * 1024 * 1024, 5.0, 60.0)
 REFUSED_STATUS = 503
 MS_PER_S = 1_000
 # Fields that every ticket has. A later build may add fields; the first of them is
--- a/packages/cyclamentally-calls/cyclamentally_calls/work.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/work.py
@@ -5,6 +5,9 @@
 from cyclamentally_calls.peer_codec import mark_final
 
 FIRST_SERVER_ERROR = 500
+# Heartbeat periods without a heartbeat after which the upstream counts as
+# unreachable; a smaller value reacts to single lost or late heartbeats.
+MAX_MISSED_HEARTBEATS = 3.5
 # Time after its deadline by which a request at a gate has ended, unless an unexpected
 # error has lost it.
 OVERDUE_S = 0.25
@@ -30,6 +33,10 @@
         self.address = address
         self.heartbeat_s = heartbeat_s
 
+    def is_silent_after(self, silence_s):
+        """Whether a time without a heartbeat, in seconds, is too long."""
+        return silence_s > MAX_MISSED_HEARTBEATS * self.heartbeat_s
+
 
 class Work:
     """A request at the gate.
