--- a/packages/cyclamentally/cyclamentally/shutdown.py
+++ b/packages/cyclamentally/cyclamentally/shutdown.py
@@ -11,9 +11,11 @@
 DEREGISTRATION_DELAY_S = 2.3
 # Shorter than a request, so that the process ends soon after the last one.
 IDLE_CHECK_INTERVAL_S = 0.05
-# Shares of the grace period. Callers are accepted without conditions in the first
-# half; after the drain, unanswered requests are ended; the rest is for the delivery
-# of responses and for delays on a busy processor.
+# Callers are accepted without conditions for this time, at most half of the grace
+# period. The users accept that a stop ends requests only if they came earlier.
+MAX_ACCEPT_S = 3.0
+# Shares of the grace period. After the drain, unanswered requests are ended; the rest
+# is for the delivery of responses and for delays on a busy processor.
 DEREGISTRATION_SHARE_OF_GRACE = 0.4
 ACCEPT_SHARE_OF_GRACE = 0.5
 DRAIN_SHARE_OF_GRACE = 0.85
@@ -95,8 +97,9 @@
         grace_s = self.grace_s
         drain_s = DRAIN_SHARE_OF_GRACE * grace_s
         leave_s = min(DEREGISTRATION_DELAY_S, DEREGISTRATION_SHARE_OF_GRACE * grace_s)
+        accept_s = min(MAX_ACCEPT_S, ACCEPT_SHARE_OF_GRACE * grace_s)
         return [
-            AnnounceShutdown(ACCEPT_SHARE_OF_GRACE * grace_s, drain_s),
+            AnnounceShutdown(accept_s, drain_s),
             StartTimer("callers_left", leave_s),
             StartTimer("time_over", drain_s),
             StartTimer("exit_due", EXIT_SHARE_OF_GRACE * grace_s),
--- a/packages/cyclamentally/cyclamentally/tests/test_shutdown.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_shutdown.py
@@ -49,6 +49,15 @@
     assert delays[2] < grace_s
 
 
+def test_request_that_comes_late_in_a_long_grace_period_is_not_passed_on():
+    announced, *_ = Shutdown(10.0).fire("stop")
+    late = LateRequests()
+    late.start_shutdown(announced.accept_s, announced.finish_s)
+    assert late.may_start(2.9, 20.0)
+    assert not late.may_start(3.1, 20.0)
+    assert late.may_start(3.1, 8.4)
+
+
 def test_process_exits_only_after_connections_are_closed(shutdown, fire):
     assert fire("stop", "callers_left") == [StopReuse, CheckIdle]
     assert fire("busy") == [StartTimer]
