--- a/packages/cyclamentally-calls/cyclamentally_calls/call_events.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/call_events.py
@@ -1,6 +1,8 @@
 """Messages between the tasks of the data plane."""
 
+from cyclamentally.errors import failed_internally
 from cyclamentally.records import Record
+from cyclamentally_calls.loop import Query
 
 
 class RoutesReplaced(Record):
@@ -66,7 +68,7 @@
         self.upstream = upstream
 
 
-class Offer(Record):
+class Offer(Record, Query):
     """A request of this node for the upstream on this host.
 
     Parameters
@@ -89,6 +91,11 @@
         self.ticket = ticket
         self.request = request
 
+    def fail(self, loop):
+        """Refuse the request, which the gate has not accepted."""
+        refusal = failed_internally(is_passed_on=False)
+        loop.post(self.sender, OfferDone(self.number, refusal, None))
+
 
 class OfferDone(Record):
     """The outcome of an offer.
@@ -138,7 +145,7 @@
         self.version = version
 
 
-class NodeRequest(Record):
+class NodeRequest(Record, Query):
     """Another node has made a request to this one.
 
     Parameters
@@ -155,6 +162,10 @@
         self.sender = sender
         self.exchange = exchange
 
+    def fail(self, loop):
+        """Refuse the other node's request."""
+        loop.post(self.sender, PeerReply(self.exchange, b""))
+
 
 class PeerStateRequest(NodeRequest):
     """Another node has requested the configuration and the hosts."""
@@ -199,7 +210,7 @@
     __slots__ = ()
 
 
-class IdleQuery(Record):
+class IdleQuery(Record, Query):
     """Shutdown: asks a task whether it is idle.
 
     Parameters
@@ -213,6 +224,10 @@
     def __init__(self, sender):
         self.sender = sender
 
+    def fail(self, loop):
+        """Reply that the task is not idle."""
+        loop.post(self.sender, IdleReply(False))
+
 
 class IdleReply(Record):
     """Reply to `IdleQuery`: idle means no requests and no unsent responses."""
@@ -286,14 +301,33 @@
         self.update = update
 
 
-class ItemsRelayed(Record):
-    """A relay has reported items of the store, as a `FeedUpdate`."""
+class ItemsRelayed(Record, Query):
+    """A relay has reported items of the store.
 
-    __slots__ = ("update",)
+    Parameters
+    ----------
+    sender : Task
+        Receiver of `RelayRejected` if the items cannot be applied.
+    update : FeedUpdate
+        The items.
+    """
 
-    def __init__(self, update):
+    __slots__ = ("sender", "update")
+
+    def __init__(self, sender, update):
+        self.sender = sender
         self.update = update
 
+    def fail(self, loop):
+        """Report that the items have not been applied."""
+        loop.post(self.sender, RelayRejected())
+
+
+class RelayRejected(Record):
+    """Items of the relay could not be applied; the store has to be read instead."""
+
+    __slots__ = ()
+
 
 class RelayAnswered(Record):
     """The items in the last answer of the relay have been applied."""
--- a/packages/cyclamentally-calls/cyclamentally_calls/feed_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/feed_task.py
@@ -13,6 +13,7 @@
     NewerVersionSeen,
     PeerReply,
     RelayAnswered,
+    RelayRejected,
     RelayRoleChanged,
     RoutesReplaced,
     ShutdownStarted,
@@ -171,6 +172,8 @@
             self._check_outdated(message.version)
         elif isinstance(message, RelayAnswered):
             self._carry_out(self.feed.on_answer(self.loop.clock()))
+        elif isinstance(message, RelayRejected):
+            self._leave("its items could not be applied")
         elif isinstance(message, ShutdownStarted):
             self._set_source(False)
 
@@ -202,15 +205,20 @@
         return True
 
     def _answer_held(self):
-        held, self.held = self.held, []
-        for entry in held:
-            if self._answer(entry.request, entry.revisions):
-                entry.timer.cancel()
-            else:
-                self.held.append(entry)
+        for held in self.held.copy():
+            self.loop.attempt(self._answer_one, held)
+
+    def _answer_one(self, held):
+        if self._answer(held.request, held.revisions):
+            held.timer.cancel()
+            self.held.remove(held)
 
     def _end_hold(self, held):
         self.held.remove(held)
+        if not self.loop.attempt(self._reply_without_changes, held):
+            held.request.fail(self.loop)
+
+    def _reply_without_changes(self, held):
         if self.is_source:
             self._reply(held.request, encode_updates([]), "no_changes")
         else:
@@ -225,7 +233,8 @@
         held, self.held = self.held, []
         for entry in held:
             entry.timer.cancel()
-            self._refuse(entry.request)
+            if not self.loop.attempt(self._refuse, entry.request):
+                entry.request.fail(self.loop)
 
     def _reply(self, request, body, result):
         self.counters.add("feed_requests_total", result)
@@ -237,8 +246,15 @@
     # Following.
 
     def _tick(self):
-        self._carry_out(self.feed.check(self.loop.clock()))
         self.timer = self.loop.call_after(TICK_S, self._tick)
+        is_asking = self.outgoing is not None and self.outgoing.on_outcome is not None
+        if self.feed.state == "following" and not is_asking:
+            self._leave("the request to it was lost")
+        self._carry_out(self.feed.check(self.loop.clock()))
+
+    def _leave(self, detail):
+        """Leave the relay, and read the store instead."""
+        self._carry_out(self.feed.on_failure(detail, self.loop.clock()))
 
     def _carry_out(self, effects):
         for effect in effects:
@@ -273,7 +289,6 @@
 
     def _handle_answer(self, result):
         self.outgoing = None
-        now = self.loop.clock()
         updates = None
         detail = getattr(
             result, "detail", "the node is no relay, or its answer invalid"
@@ -281,10 +296,10 @@
         if isinstance(result, Answered) and result.response.status == HTTP_OK:
             updates = decode_updates(result.response.body)
         if updates is None or any(u.prefix not in self.logs for u in updates):
-            self._carry_out(self.feed.on_failure(detail, now))
+            self._leave(detail)
             return
         for update in updates:
-            self.loop.post(self.store, ItemsRelayed(update))
+            self.loop.post(self.store, ItemsRelayed(self, update))
             self.logs[update.prefix].note_revision(update.revision)
         # The store task reports the items back before the next request is made.
         self.loop.post(self, RelayAnswered())
@@ -306,7 +321,7 @@
         self.outdated_timer = None
         if self.version < version:
             detail = f"version {version} is used elsewhere, {self.version} here"
-            self._carry_out(self.feed.on_failure(detail, self.loop.clock()))
+            self._leave(detail)
 
     def _report_role(self):
         if self.feed.is_relay != self.was_relay:
--- a/packages/cyclamentally-calls/cyclamentally_calls/loop.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/loop.py
@@ -35,6 +35,16 @@
         """Close the sockets and timers of the task."""
 
 
+class Query(ABC):
+    """A message whose sender waits for a reply."""
+
+    __slots__ = ()
+
+    @abstractmethod
+    def fail(self, loop):
+        """Reply in place of a task that has failed to handle the message."""
+
+
 class Timer:
     """A callback scheduled for a time.
 
@@ -214,7 +224,9 @@
     def _deliver(self):
         while self.inbox:
             task, message = self.inbox.popleft()
-            self.attempt(task.receive, message)
+            is_handled = self.attempt(task.receive, message)
+            if not is_handled and isinstance(message, Query):
+                self.attempt(message.fail, self)
 
 
 def _ignore():
