--- a/packages/cyclamentally-calls/cyclamentally_calls/host_registration.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/host_registration.py
@@ -87,8 +87,8 @@
             if isinstance(effect, StartTimer):
                 run = partial(self.fire, effect.event)
                 self.timers.start("registration", effect, run)
-            else:
-                self._call(effect)
+            elif not self.client.loop.attempt(self._call, effect):
+                self.fire("failed")
 
     def _call(self, effect):
         timeout_s = CALL_TIMEOUT_S
--- a/packages/cyclamentally-calls/cyclamentally_calls/store_client.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_client.py
@@ -6,7 +6,7 @@
 from cyclamentally.store_outcomes import StoreFailed
 from cyclamentally_calls.client_connection import ConnectionPool
 from cyclamentally_calls.http_codec import encode_request
-from cyclamentally_calls.outcomes import Answered
+from cyclamentally_calls.outcomes import Answered, Lost
 from cyclamentally_calls.outgoing_request import OutgoingRequest
 
 # The store responds in milliseconds, a slow one in about 0.3 s.
@@ -75,7 +75,7 @@
         has_body = bool(call.body)
         data = encode_request(call.method, call.target, headers, call.body, has_body)
         self.counters.add("store_calls_total", call.method.decode())
-        outgoing = OutgoingRequest(data, None, partial(self._finish, call, on_outcome))
+        outgoing = OutgoingRequest(data, None, partial(self._deliver, call, on_outcome))
         self.pool.send(self.address, outgoing, self.loop.clock() + timeout_s)
         return outgoing
 
@@ -83,6 +83,15 @@
         """Close the connections."""
         self.pool.close()
 
+    def _deliver(self, call, on_outcome, result):
+        """Report the outcome; a call has failed if its outcome cannot be handled.
+
+        The failure lets the caller, and others that wait for the store, try again.
+        """
+        if not self.loop.attempt(self._finish, call, on_outcome, result):
+            failure = Lost("unexpected error")
+            self.loop.attempt(self._finish, call, on_outcome, failure)
+
     def _finish(self, call, on_outcome, result):
         if isinstance(result, Answered):
             outcome = call.decode(result.response.status, result.response.body)
--- a/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
@@ -355,7 +355,9 @@
         self._fire_watch(watch, event, outcome)
 
     def _fire_watch(self, watch, event, message=None):
-        self._carry_out_watch_effects(watch, watch.fire(event, message))
+        effects = watch.fire(event, message)
+        if not self.loop.attempt(self._carry_out_watch_effects, watch, effects):
+            self._carry_out_watch_effects(watch, watch.fire("failed"))
         self._report_source()
 
     def _apply_relayed(self, update):
@@ -389,8 +391,8 @@
             self.registration.fire("retry")
 
     def _tick(self):
+        self.timer = self.loop.call_after(TICK_S, self._tick)
         available_since = self.client.health.available_since
         if self.directory.tick(self.loop.clock(), available_since):
             self._notify_hosts()
         self._report_source()
-        self.timer = self.loop.call_after(TICK_S, self._tick)
