--- a/packages/cyclamentally-calls/cyclamentally_calls/process_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/process_task.py
@@ -99,10 +99,13 @@
 
     def _on_signal(self, events):
         for number in self.wakeup_reader.recv(SIGNAL_BYTES):
-            if number == SIGHUP:
-                self._read_settings()
-            else:
-                self._fire("stop")
+            self.loop.attempt(self._handle_signal, number)
+
+    def _handle_signal(self, number):
+        if number == SIGHUP:
+            self._read_settings()
+        else:
+            self._fire("stop")
 
     def _fire(self, event):
         before = self.shutdown.state
@@ -132,8 +135,8 @@
             self.loop.post(task, message)
 
     def _check_settings(self):
-        self._read_settings()
         self.loop.call_after(SETTINGS_POLL_S, self._check_settings)
+        self._read_settings()
 
     def _read_settings(self):
         outcome = self.read_service()
