--- a/packages/cyclamentally-calls/cyclamentally_calls/call_events.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/call_events.py
@@ -204,6 +204,12 @@
         self.service = service
 
 
+class EntryWithdrawn(Record):
+    """Shutdown: other nodes are told to use this host no more."""
+
+    __slots__ = ()
+
+
 class RetireConnections(Record):
     """Shutdown: each connection is closed with its next response."""
 
@@ -254,7 +260,7 @@
 
 
 class ShutdownStarted(Record):
-    """Shutdown has begun: readiness fails and the upstream is withdrawn.
+    """Shutdown has begun: readiness fails.
 
     Parameters
     ----------
--- a/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
@@ -1,7 +1,6 @@
 """The task that runs admission control for the upstream on this node's host."""
 
 from functools import partial
-from time import time
 
 from cyclamentally.body_budget import max_body_bytes
 from cyclamentally.effects import Count, StateChanged
@@ -9,16 +8,16 @@
 from cyclamentally.gate_messages import (
     RefuseWork,
     StartWork,
-    Ticket,
     UpstreamEnded,
 )
 from cyclamentally.publication import Publication
-from cyclamentally.shutdown import not_finished
+from cyclamentally.shutdown import LateRequests, node_stopping, not_finished
 from cyclamentally_calls.accepted_connections import AcceptedConnections
 from cyclamentally_calls.call_events import (
     CallNotRetried,
     DrainConnections,
     EndRequests,
+    EntryWithdrawn,
     FeedRequest,
     IdleQuery,
     IdleReply,
@@ -29,6 +28,7 @@
     PeerReply,
     PeerStateRequest,
     RepeatedRunChanged,
+    RetireConnections,
     RoutesReplaced,
     ServiceChanged,
     ShutdownStarted,
@@ -39,21 +39,14 @@
 from cyclamentally_calls.calls import request_id_of
 from cyclamentally_calls.exchange import RequestHandler
 from cyclamentally_calls.feed_codec import FEED_TARGET
-from cyclamentally_calls.http_codec import Response
-from cyclamentally_calls.loop import Task
+from cyclamentally_calls.loop import Task, wall_time_ms
 from cyclamentally_calls.pacer import Pacer
-from cyclamentally_calls.peer_codec import (
-    PEER_LIMITS,
-    TICKET_HEADER,
-    decode_ticket,
-    encode_refusal,
-)
+from cyclamentally_calls.peer_codec import PEER_LIMITS, find_ticket, refuse_offer
 from cyclamentally_calls.peer_state import STATE_TARGET, state_response
 from cyclamentally_calls.requesters import LocalRequester, PeerRequester
 from cyclamentally_calls.upstream_client import UpstreamClient
-from cyclamentally_calls.work import Work, WorkTable
+from cyclamentally_calls.work import Work, WorkTable, make_gate_ticket
 
-MS_PER_S = 1_000
 # Interval between checks of the queue and the heartbeat. It is shorter while
 # requests are queued, so that those that cannot be served are refused early.
 TICK_WITH_QUEUE_S = 0.05
@@ -91,6 +84,7 @@
         "counters",
         "feed",
         "gate",
+        "late_requests",
         "log",
         "loop",
         "names",
@@ -123,6 +117,7 @@
         self.works = WorkTable()
         self.number = 0
         self.publication = Publication()
+        self.late_requests = LateRequests()
         self.table = None
         self.feed = None
         self.outbound = None
@@ -162,10 +157,19 @@
         elif isinstance(message, IdleQuery):
             is_idle = not self.works and self.connections.is_idle()
             self.loop.post(message.sender, IdleReply(is_idle))
-        elif isinstance(message, ShutdownStarted):
-            self._carry_out(self.gate.stop())
+        else:
+            self._take_shutdown_step(message)
+
+    def _take_shutdown_step(self, message):
+        if isinstance(message, ShutdownStarted):
+            # Other gates can run the requests that would not end in time.
+            self.late_requests.start_shutdown(self.loop.clock(), message.finish_by)
+        elif isinstance(message, EntryWithdrawn):
+            self.publication.withdraw()
             self._publish()
             self.connections.fire("retire")
+        elif isinstance(message, RetireConnections):
+            self._carry_out(self.gate.stop())
         elif isinstance(message, EndRequests):
             self._end_works()
         elif isinstance(message, DrainConnections):
@@ -181,13 +185,11 @@
         if exchange.request.target.startswith(FEED_TARGET):
             self.loop.post(self.feed, FeedRequest(self, exchange))
             return
-        ticket = decode_ticket(exchange.request.find(TICKET_HEADER.lower()))
-        if ticket is None:
-            refusal = Refused(
-                Kind.MESSAGE_MALFORMED, "ticket header is missing or malformed"
-            )
-            exchange.respond(self.refuse(exchange.request, refusal))
+        outcome = find_ticket(exchange.request)
+        if isinstance(outcome, Refused):
+            exchange.respond(self.refuse(exchange.request, outcome))
             return
+        ticket = outcome.value
         if ticket.version > (self.table.version if self.table else 0):
             self.loop.post(self.store, NewerVersionSeen(ticket.sender, ticket.version))
         requester = PeerRequester(self.loop, exchange, self.names.request_id)
@@ -212,23 +214,18 @@
     def refuse(self, request, refusal):
         """Return the response to a request that violates the peer protocol."""
         self.counters.add("peer_requests_refused_total", refusal.kind)
-        return Response(refusal.answer.status, [encode_refusal(refusal)], b"")
+        return refuse_offer(refusal)
 
     # Admission.
 
     def _admit(self, requester, peer_ticket, request):
         now = self.loop.clock()
+        if not self.late_requests.may_start(now, now + peer_ticket.left_s):
+            requester.resolve(node_stopping(), self.gate.load(peer_ticket.route))
+            return
         self.number += 1
-        ticket = Ticket(
-            self.number,
-            peer_ticket.upstream,
-            peer_ticket.service,
-            peer_ticket.route,
-            peer_ticket.priority,
-            now + peer_ticket.target_s,
-            now + peer_ticket.left_s,
-            isinstance(requester, PeerRequester),
-        )
+        crosses_link = isinstance(requester, PeerRequester)
+        ticket = make_gate_ticket(self.number, peer_ticket, now, crosses_link)
         request_id = request_id_of(request, self.names)
         work = Work(requester, request, request_id, ticket, peer_ticket.is_repeat)
         self.works.add(work)
@@ -257,7 +254,7 @@
         before = self.gate.heartbeat
         now = self.loop.clock()
         if isinstance(report, UpstreamEnded):
-            wall_ms = int(time() * MS_PER_S)
+            wall_ms = wall_time_ms()
             self._carry_out(self.gate.on_upstream_ended(report.upstream, wall_ms, now))
         else:
             self._carry_out(self.gate.on_heartbeat(report, now))
@@ -393,8 +390,7 @@
 
     def _check_gate(self):
         now = self.loop.clock()
-        silence = now - self.gate.last_heartbeat_at
         if self.gate.state == "open":
-            if self.local_upstream.is_silent_after(silence):
+            if self.local_upstream.is_silent_after(now - self.gate.last_heartbeat_at):
                 self._mark_unreachable("silent")
             self._carry_out(self.gate.tick(now))
--- a/packages/cyclamentally-calls/cyclamentally_calls/loop.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/loop.py
@@ -5,8 +5,9 @@
 from contextlib import suppress
 from heapq import heappop, heappush
 from select import EPOLLERR, EPOLLHUP, epoll
-from time import CLOCK_BOOTTIME, clock_gettime
+from time import CLOCK_BOOTTIME, clock_gettime, time
 
+MS_PER_S = 1_000
 # Upper bound of one poll; timers and descriptors end it earlier.
 MAX_POLL_S = 5.0
 ERROR_EVENTS = EPOLLERR | EPOLLHUP
@@ -17,6 +18,11 @@
     return clock_gettime(CLOCK_BOOTTIME)
 
 
+def wall_time_ms():
+    """Return the time of day in Unix milliseconds; it may jump."""
+    return int(time() * MS_PER_S)
+
+
 class Task(ABC):
     """Owner of sockets and state; other tasks communicate with it by messages."""
 
--- a/packages/cyclamentally-calls/cyclamentally_calls/peer_codec.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/peer_codec.py
@@ -2,7 +2,7 @@
 
 from msgspec.json import encode
 
-from cyclamentally.errors import Kind, Refused
+from cyclamentally.errors import Done, Kind, Refused
 from cyclamentally.gate_messages import Load
 from cyclamentally.routes import CallerLimits
 from cyclamentally_calls.decoding import (
@@ -114,6 +114,20 @@
     return (TICKET_HEADER, encode(fields))
 
 
+def find_ticket(request):
+    """Return ``Done`` with the `PeerTicket` of a node's request, or ``Refused``."""
+    ticket = decode_ticket(request.find(TICKET_HEADER.lower()))
+    if ticket is None:
+        detail = "ticket header is missing or malformed"
+        return Refused(Kind.MESSAGE_MALFORMED, detail)
+    return Done(ticket)
+
+
+def refuse_offer(refusal):
+    """Return the `Response` to a node's request that violates the protocol."""
+    return Response(refusal.answer.status, [encode_refusal(refusal)], b"")
+
+
 def decode_ticket(value):
     """Return the `PeerTicket` of a header value, or None if it is invalid."""
     fields, others = _split_fields(value, len(TICKET_FIELDS))
--- a/packages/cyclamentally-calls/cyclamentally_calls/process_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/process_task.py
@@ -13,10 +13,12 @@
     EndUnanswered,
     ExitProcess,
     StopReuse,
+    WithdrawEntry,
 )
 from cyclamentally_calls.call_events import (
     DrainConnections,
     EndRequests,
+    EntryWithdrawn,
     IdleQuery,
     IdleReply,
     RetireConnections,
@@ -131,6 +133,8 @@
             now = self.loop.clock()
             started = ShutdownStarted(now + effect.accept_s, now + effect.finish_s)
             self._broadcast(self.subscribers, started)
+        elif isinstance(effect, WithdrawEntry):
+            self._broadcast(self.request_tasks, EntryWithdrawn())
         elif isinstance(effect, StopReuse):
             self._broadcast(self.request_tasks, RetireConnections())
         elif isinstance(effect, EndUnanswered):
--- a/packages/cyclamentally-calls/cyclamentally_calls/server_connection.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/server_connection.py
@@ -247,7 +247,6 @@
             # A response may have ended the connection, which drops the others.
             if not self.exchanges:
                 return
-                return
             may_run_concurrently = self._may_run_concurrently(exchange)
             if not exchange.is_started:
                 if position and not may_run_concurrently:
--- a/packages/cyclamentally-calls/cyclamentally_calls/work.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/work.py
@@ -1,6 +1,7 @@
 """Requests at the gate, and the upstream that the gate protects."""
 
 from cyclamentally.errors import Done
+from cyclamentally.gate_messages import Ticket
 from cyclamentally.repeated_runs import find_run
 from cyclamentally_calls.peer_codec import mark_final
 
@@ -38,6 +39,32 @@
         return silence_s > MAX_MISSED_HEARTBEATS * self.heartbeat_s
 
 
+def make_gate_ticket(number, ticket, now, crosses_link):
+    """Return the gate's `Ticket` for a request with a `PeerTicket`.
+
+    Parameters
+    ----------
+    number : int
+        Number of the request at this gate.
+    ticket : PeerTicket
+        What the sender says of the request.
+    now : float
+        Time of arrival, in seconds.
+    crosses_link : bool
+        Whether the answer goes to another host.
+    """
+    return Ticket(
+        number,
+        ticket.upstream,
+        ticket.service,
+        ticket.route,
+        ticket.priority,
+        now + ticket.target_s,
+        now + ticket.left_s,
+        crosses_link,
+    )
+
+
 class Work:
     """A request at the gate.
 
--- a/packages/cyclamentally/cyclamentally/publication.py
+++ b/packages/cyclamentally/cyclamentally/publication.py
@@ -6,11 +6,16 @@
 class Publication:
     """Decides when the entry of the upstream has to be written again."""
 
-    __slots__ = ("published",)
+    __slots__ = ("is_withdrawn", "published")
 
     def __init__(self):
+        self.is_withdrawn = False
         self.published = None
 
+    def withdraw(self):
+        """Publish the upstream as leaving from now on."""
+        self.is_withdrawn = True
+
     def update(self, gate):
         """Return the `UpstreamEntry` to publish, or None if nothing changed.
 
@@ -22,11 +27,11 @@
         heartbeat = gate.heartbeat
         if heartbeat is None:
             return None
-        is_open = gate.state == "open"
+        is_open = gate.state == "open" and not self.is_withdrawn
         if self.published is None and not is_open:
             return None
         if gate.state == "stopped" and self.published.is_leaving:
-            # Tells a later process of this node which lifetime has departed.
+            # It may tell a later process of this node which lifetime has departed.
             return None
         entry = UpstreamEntry(
             heartbeat.upstream,
--- a/packages/cyclamentally/cyclamentally/shutdown.py
+++ b/packages/cyclamentally/cyclamentally/shutdown.py
@@ -9,11 +9,14 @@
 
 # The platform takes two readiness checks, a second apart, to send callers elsewhere.
 DEREGISTRATION_DELAY_S = 2.3
+# Other nodes learn within this time from the store that a host is leaving.
+WITHDRAWAL_TIME_S = 1.2
 # Shorter than a request, so that the process ends soon after the last one.
 IDLE_CHECK_INTERVAL_S = 0.05
-# Callers are accepted without conditions for this time, at most half of the grace
-# period. The users accept that a stop ends requests only if they came earlier.
-MAX_ACCEPT_S = 3.0
+# Requests are passed on without conditions for this time, at most half of the grace
+# period. One that comes 3 s after the signal or later must not be ended at an upstream;
+# a busy node reads the signal late.
+MAX_ACCEPT_S = 2.7
 # Shares of the grace period. After the drain, unanswered requests are ended; the rest
 # is for the delivery of responses and for delays on a busy processor.
 DEREGISTRATION_SHARE_OF_GRACE = 0.4
@@ -42,6 +45,12 @@
         self.finish_s = finish_s
 
 
+class WithdrawEntry(Record):
+    """Effect: tell other nodes to use this host no more."""
+
+    __slots__ = ()
+
+
 class StopReuse(Record):
     """Effect: close each connection with its next response."""
 
@@ -100,11 +109,16 @@
         accept_s = min(MAX_ACCEPT_S, ACCEPT_SHARE_OF_GRACE * grace_s)
         return [
             AnnounceShutdown(accept_s, drain_s),
+            StartTimer("withdraw", max(0.0, leave_s - WITHDRAWAL_TIME_S)),
             StartTimer("callers_left", leave_s),
             StartTimer("time_over", drain_s),
             StartTimer("exit_due", EXIT_SHARE_OF_GRACE * grace_s),
         ]
 
+    def withdraw_entry(self, message):
+        """Tell other nodes before the upstream on this host is given up."""
+        return [WithdrawEntry()]
+
     def stop_reuse(self, message):
         """Let callers open new connections, which may lead to another node."""
         return [StopReuse()]
--- a/packages/cyclamentally/cyclamentally/tests/test_shutdown.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_shutdown.py
@@ -40,21 +40,26 @@
     announced, *timers = Shutdown(grace_s).fire("stop")
     assert isinstance(announced, AnnounceShutdown)
     assert all(isinstance(timer, StartTimer) for timer in timers)
-    assert [t.event for t in timers] == ["callers_left", "time_over", "exit_due"]
+    assert [t.event for t in timers] == [
+        "withdraw",
+        "callers_left",
+        "time_over",
+        "exit_due",
+    ]
     delays = [t.delay_s for t in timers]
     assert delays == sorted(delays)
-    assert delays[0] < announced.accept_s < announced.finish_s == delays[1]
+    assert delays[1] < announced.accept_s < announced.finish_s == delays[2]
     # Unanswered requests may be ended in the last sixth of the grace period.
     assert 5 / 6 * grace_s <= announced.finish_s
-    assert delays[2] < grace_s
+    assert delays[3] < grace_s
 
 
 def test_request_that_comes_late_in_a_long_grace_period_is_not_passed_on():
     announced, *_ = Shutdown(10.0).fire("stop")
     late = LateRequests()
     late.start_shutdown(announced.accept_s, announced.finish_s)
-    assert late.may_start(2.9, 20.0)
-    assert not late.may_start(3.1, 20.0)
+    assert late.may_start(2.6, 20.0)
+    assert not late.may_start(3.0, 20.0)
     assert late.may_start(3.1, 8.4)
 
 
