--- a/packages/cyclamentally-node/cyclamentally_node/admin.py
+++ b/packages/cyclamentally-node/cyclamentally_node/admin.py
@@ -1,12 +1,14 @@
 """HTTP interface for operators, metrics and announcements of upstreams."""
 
-from msgspec import MsgspecError
-from msgspec.json import decode, encode
+from reprlib import repr as short_repr
+
+from msgspec.json import encode
 from pykka import ThreadingFuture, Timeout
 
 from cyclamentally.errors import Done, Kind, Refused
 from cyclamentally.model import Upstream
 from cyclamentally.records import Record
+from cyclamentally_calls.decoding import InvalidDataError, decode_json
 from cyclamentally_calls.http_codec import REASONS, Response
 from cyclamentally_node.caller_request import refusal_answer
 from cyclamentally_node.settings import is_address
@@ -123,15 +125,17 @@
         "draining": bool,
     }
     try:
-        document = decode(body, type=dict)
-        values = {key: document.get(key, False) for key in fields}
-    except MsgspecError as error:
+        document = decode_json(body)
+    except InvalidDataError as error:
         return Refused(Kind.BAD_REQUEST, str(error)[:200])
+    if not isinstance(document, dict):
+        return Refused(Kind.BAD_REQUEST, "the announcement is not a JSON object")
+    values = {key: document.get(key, False) for key in fields}
     for key, kind in fields.items():
         if type(values[key]) is not kind:
             return Refused(
                 Kind.BAD_REQUEST,
-                f"{key}: {values[key]!r:.80} is not of type {kind.__name__}",
+                f"{key}: {short_repr(values[key])} is not of type {kind.__name__}",
             )
     return Done(Upstream(address=address, **values))
 
--- a/packages/cyclamentally-node/cyclamentally_node/settings.py
+++ b/packages/cyclamentally-node/cyclamentally_node/settings.py
@@ -6,8 +6,7 @@
 from cyclamentally.errors import Done, Kind, Refused
 from cyclamentally.profiles import is_valid_name
 from cyclamentally.records import Record
-
-MAX_PORT = 65_535
+from cyclamentally_calls.decoding import MAX_PORT, parse_digits
 
 
 class Setting(Record):
@@ -156,7 +155,8 @@
         ip_address(host.strip("[]"))
     except ValueError:
         return False
-    return port.isascii() and port.isdigit() and int(port) <= MAX_PORT
+    number = parse_digits(port)
+    return number is not None and number <= MAX_PORT
 
 
 def split_address(address):
--- a/packages/cyclamentally-node/cyclamentally_node/tests/test_hostile.py
+++ b/packages/cyclamentally-node/cyclamentally_node/tests/test_hostile.py
@@ -2,7 +2,9 @@
 
 from io import BytesIO
 
+import pytest
 from cyclamentally_platform.bodies import JsonBodyCodec
+from cyclamentally_platform.client import _decode_listing, _decode_response
 from cyclamentally_platform.stored import JsonStoredCodec
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -14,7 +16,13 @@
 from cyclamentally_node.admin import read_upstream
 from cyclamentally_node.caller_request import read_request
 from cyclamentally_node.peer_codec import COMPRESSED, PLAIN, decode_message
-from cyclamentally_node.settings import DEFAULT_SETTINGS, SettingsReader
+from cyclamentally_node.settings import DEFAULT_SETTINGS, SettingsReader, is_address
+from cyclamentally_testing.odd_values import (
+    INVALID_ADDRESSES,
+    ODD_VALUES,
+    leaf_paths,
+    with_value,
+)
 
 SETTINGS = settings(max_examples=150, derandomize=True, deadline=None, database=None)
 OUTCOME = Done | Refused
@@ -129,3 +137,39 @@
     headers = [(b"Cyclamentally-Deadline-Ms", b"9" * 5_000)]
     request = Request(b"GET", b"/", headers, b"", False, True)
     assert isinstance(read_request(request), Refused)
+
+
+@pytest.mark.parametrize("value", ODD_VALUES.values(), ids=ODD_VALUES)
+def test_odd_values_are_answered(value):
+    codec = JsonStoredCodec(JsonBodyCodec())
+    fields = {"version": 1, "deleted": False, "writer": "w", "operation": "o"}
+    document = {**fields, "document": {"services": {}}, "recent": [[1, "w", "o"]]}
+    for path in [(), *leaf_paths(document), ("document",)]:
+        odd = with_value(document, path, value)
+        assert isinstance(codec.decode("night", odd), OUTCOME)
+        assert isinstance(
+            _decode_response(Answer(odd), _decode_listing, False), OUTCOME
+        )
+        environ = {"wsgi.input": BytesIO(odd)}
+        assert isinstance(read_upstream("10.0.0.1:1", environ), OUTCOME)
+
+
+class Answer:
+    """An answer of the platform with status 200."""
+
+    def __init__(self, data):
+        self.status = 200
+        self.data = data
+
+
+@pytest.mark.parametrize("address", INVALID_ADDRESSES)
+def test_invalid_address_is_none(address):
+    assert not is_address(address) or address in ("[::1]:80", "::1:80", "127.0.0.1:0")
+
+
+def test_stored_version_beyond_64_bits_is_refused():
+    fields = {"version": 2**63, "deleted": True, "writer": "w", "operation": "o"}
+    codec = JsonStoredCodec(JsonBodyCodec())
+    assert isinstance(
+        codec.decode("night", codec.body_codec.canonical(fields)), Refused
+    )
--- a/packages/cyclamentally-platform/cyclamentally_platform/client.py
+++ b/packages/cyclamentally-platform/cyclamentally_platform/client.py
@@ -94,7 +94,7 @@
         return Refused(kind, detail)
     try:
         return Done(decode_body(decode(response.data)))
-    except (DecodeError, KeyError, TypeError, ValueError) as error:
+    except (DecodeError, KeyError, TypeError, ValueError, RecursionError) as error:
         kind = Kind.PLATFORM_UNAVAILABLE
         if is_write:
             kind = Kind.PLATFORM_OUTCOME_UNKNOWN
--- a/packages/cyclamentally-platform/cyclamentally_platform/stored.py
+++ b/packages/cyclamentally-platform/cyclamentally_platform/stored.py
@@ -7,6 +7,9 @@
 from cyclamentally.publishing import PastWrite, StoredProfile, StoredProfileCodec
 from cyclamentally.versions import ProfileVersion
 
+# Versions are passed on as integers of 64 bits.
+MAX_VERSION = 2**63 - 1
+
 
 class JsonStoredCodec(StoredProfileCodec):
     """Encodes a stored profile as one JSON object.
@@ -41,15 +44,23 @@
         """Return ``Done`` with a `StoredProfile`, ``Refused`` if malformed."""
         try:
             return Done(self._decode(name, decode(value)))
-        except (DecodeError, ValidationError, KeyError, TypeError, ValueError) as error:
-            return Refused(
-                Kind.PROFILE_INVALID, f"{name}: malformed stored profile: {error!r}"
-            )
+        except (
+            DecodeError,
+            ValidationError,
+            KeyError,
+            TypeError,
+            ValueError,
+            RecursionError,
+        ) as error:
+            detail = f"{name}: malformed stored profile: {error!r}"[:200]
+            return Refused(Kind.PROFILE_INVALID, detail)
 
     def _decode(self, name, document):
         number = document["version"]
-        if not isinstance(number, int) or number < 1:
-            raise ValueError(f"version {number!r} is not a positive integer")
+        if not isinstance(number, int) or not 1 <= number <= MAX_VERSION:
+            raise ValueError(
+                f"version {number!r:.40} is not within 1 and {MAX_VERSION}"
+            )
         deleted = bool(document["deleted"])
         body = b"" if deleted else self.body_codec.canonical(document["document"])
         version = ProfileVersion(
