--- a/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
@@ -357,11 +357,14 @@
         self._publish()
 
     def _end_works(self):
-        """Resolve the requests that the upstream has not answered in a shutdown."""
+        """End the requests that are unanswered at the end of a shutdown."""
         for work in list(self.works.by_number.values()):
-            if work.outgoing is not None:
-                work.outgoing.cancel()
-            self._resolve(work, not_finished())
+            self._run(work, self._end)
+
+    def _end(self, work):
+        if work.outgoing is not None:
+            work.outgoing.cancel()
+        self._resolve(work, not_finished())
 
     def _resolve(self, work, outcome):
         self._remove(work)
--- a/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
@@ -342,7 +342,7 @@
     def _end_calls(self):
         """Answer the requests that upstreams have not answered in a shutdown."""
         for call in list(self.calls.values()):
-            self._end_call(call)
+            self._run(call, self._end_call)
         self.connections.refuse_unread(node_stopping())
 
     def _end_call(self, call):
