--- a/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
@@ -357,9 +357,10 @@
         self._publish()
 
     def _end_works(self):
-        """End the requests that are unanswered at the end of a shutdown."""
+        """End the requests that are unanswered or unread at the end of a shutdown."""
         for work in list(self.works.by_number.values()):
             self._run(work, self._end)
+        self.connections.refuse_unread(node_stopping())
 
     def _end(self, work):
         if work.outgoing is not None:
