--- a/packages/cyclamentally-calls/cyclamentally_calls/process_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/process_task.py
@@ -119,11 +119,15 @@
     def _fire(self, event):
         before = self.shutdown.state
         effects = self.shutdown.fire(event)
-        if self.shutdown.state != before:
-            state = self.shutdown.state
-            self.log.write("state", subject="process", state=state, reason=event)
+        # The chart has taken the step, so no error may prevent a part of it.
         for effect in effects:
-            self._carry_out(effect)
+            self.loop.attempt(self._carry_out, effect)
+        if self.shutdown.state != before:
+            self._log_state(event)
+
+    def _log_state(self, event):
+        state = self.shutdown.state
+        self.log.write("state", subject="process", state=state, reason=event)
 
     def _carry_out(self, effect):
         if isinstance(effect, StartTimer):
