--- a/packages/cyclamentally-calls/cyclamentally_calls/decision_log.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/decision_log.py
@@ -93,9 +93,9 @@
         )
 
     def _flush_periodically(self):
+        self.timer = self.loop.call_after(FLUSH_INTERVAL_S, self._flush_periodically)
         self.tokens = min(LINES_PER_S, self.tokens + LINES_PER_S * FLUSH_INTERVAL_S)
         self._flush()
-        self.timer = self.loop.call_after(FLUSH_INTERVAL_S, self._flush_periodically)
 
     def _flush(self):
         if self.dropped and self.tokens >= 1:
