--- a/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
@@ -5,7 +5,6 @@
 from cyclamentally.effects import StartTimer
 from cyclamentally.errors import Refused
 from cyclamentally.hosts import HostDirectory, HostEntry
-from cyclamentally.store_health import PeerFallback
 from cyclamentally.store_outcomes import WATCH_EVENTS, Page, StoredItem
 from cyclamentally.watching import AwaitChanges, ReadPage, Watch
 from cyclamentally_calls.call_events import (
@@ -27,17 +26,10 @@
 from cyclamentally_calls.event_timers import EventTimers
 from cyclamentally_calls.host_entries import HOSTS_PREFIX, HostEntryReader
 from cyclamentally_calls.host_registration import HostRegistration
-from cyclamentally_calls.http_codec import encode_request
 from cyclamentally_calls.loop import Task
-from cyclamentally_calls.outcomes import Answered
-from cyclamentally_calls.outgoing_request import OutgoingRequest
-from cyclamentally_calls.peer_state import (
-    STATE_TARGET,
-    PeerState,
-    decode_state,
-    encode_state,
-)
-from cyclamentally_calls.store_client import CALL_TIMEOUT_S, StoreClient
+from cyclamentally_calls.peer_state import PeerState, encode_state
+from cyclamentally_calls.peer_state_reader import PeerStateReader
+from cyclamentally_calls.store_client import StoreClient
 from cyclamentally_calls.store_sinks import HostSink, RouteSink
 
 # Time beyond its long-poll wait after which a watch without a response has failed.
@@ -93,7 +85,7 @@
         "subscribers",
         "log",
         "loop",
-        "peer_fallback",
+        "peers",
         "place",
         "registration",
         "table",
@@ -134,7 +126,7 @@
         self.entries = HostEntryReader(counters, log)
         self.table = None
         self.configuration = None
-        self.peer_fallback = PeerFallback()
+        self.peers = PeerStateReader(self.client, counters, log, self._merge_peer_state)
         self.watches = self._make_watches(config_prefix, in_force_s, random)
         # The call in flight of each watch, by the watch's prefix.
         self.watch_calls = {}
@@ -167,7 +159,7 @@
             if self.directory.fail(message.name):
                 self._notify_hosts()
         elif isinstance(message, NewerVersionSeen):
-            self._request_peer_state(message)
+            self.peers.consider(message, self.table.version if self.table else None)
             self.loop.post(self.feed, message)
         elif isinstance(message, ItemsRelayed):
             self._apply_relayed(message.update)
@@ -260,29 +252,8 @@
         hosts = [(h.entry, h.revision) for h in self.directory.used.values()]
         return encode_state(PeerState(self.configuration, hosts))
 
-    def _request_peer_state(self, message):
-        """Request the state of a node with a newer version while the store is down."""
-        now = self.loop.clock()
-        own = self.table.version if self.table else None
-        health = self.client.health
-        if not self.peer_fallback.should_ask(message.version, own, health, now):
-            return
-        self.counters.add("peers_asked_total")
-        headers = [(b"Host", message.address.encode())]
-        data = encode_request(b"GET", STATE_TARGET, headers, b"", False)
-        outgoing = OutgoingRequest(data, None, self._merge_peer_state)
-        self.client.pool.send(message.address, outgoing, now + CALL_TIMEOUT_S)
-
-    def _merge_peer_state(self, result):
+    def _merge_peer_state(self, state):
         """Merge the state of another node; older items are ignored."""
-        state = None
-        if isinstance(result, Answered):
-            state = decode_state(result.response.body)
-        if state is None:
-            self.counters.add("peer_states_refused_total")
-            detail = getattr(result, "detail", "the response is no valid state")
-            self.log.write("peer_state_refused", detail=detail)
-            return
         for entry, revision in state.hosts:
             self.directory.put(entry, revision)
         self._notify_hosts()
