--- a/packages/cyclamentally-calls/cyclamentally_calls/feed_codec.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/feed_codec.py
@@ -8,6 +8,7 @@
 from msgspec.msgpack import encode
 
 from cyclamentally.feed_log import FeedUpdate
+from cyclamentally.revisions import Revision
 from cyclamentally.store_outcomes import RemovedKey, StoredItem
 from cyclamentally_calls.decoding import (
     MAX_INTEGER,
@@ -24,12 +25,19 @@
 
 
 def encode_feed_target(revisions):
-    """Return the path of a request for the changes after a revision of each prefix."""
-    return FEED_TARGET + b",".join(b"%d" % revision for revision in revisions)
+    """Return the path of a request for the changes after a revision of each prefix.
+
+    Revisions of an era above 0 are written as ``era.number``. An earlier build, which
+    would take them for lower ones of its own, refuses such a path.
+    """
+    texts = [
+        b"%d.%d" % (r.era, r.number) if r.era else b"%d" % r.number for r in revisions
+    ]
+    return FEED_TARGET + b",".join(texts)
 
 
 def decode_feed_target(target, count):
-    """Return the revisions of a request's path, or None if it is invalid.
+    """Return the tuple of `Revision` of a request's path, or None if it is invalid.
 
     Parameters
     ----------
@@ -39,21 +47,17 @@
         Expected number of revisions.
     """
     texts = target.removeprefix(FEED_TARGET).split(b",")
-    revisions = tuple(parse_digits(text) for text in texts)
+    revisions = tuple(_decode_revision(text) for text in texts)
     return None if len(texts) != count or None in revisions else revisions
 
 
 def encode_updates(updates):
-    """Return the body with a list of `FeedUpdate`."""
-    rows = [
-        [
-            update.prefix,
-            update.revision,
-            update.is_listing,
-            [[c.key, getattr(c, "value", None), c.revision] for c in update.changes],
-        ]
-        for update in updates
-    ]
+    """Return the body with a list of `FeedUpdate`.
+
+    All rows have the era if one is above 0; an earlier build refuses such a body.
+    """
+    has_eras = any(update.revision.era for update in updates)
+    rows = [_encode_update(update, has_eras) for update in updates]
     return compress(encode(rows), COMPRESSION_LEVEL)
 
 
@@ -62,21 +66,49 @@
     unpacker = decompressobj()
     try:
         data = unpacker.decompress(body, MAX_BODY_BYTES)
-        rows = decode_msgpack(data, list[tuple[str, _Revision, bool, list[_Row]]])
+        rows = _decode_rows(data)
     except (ZlibError, InvalidDataError):
         return None
-    return [
-        FeedUpdate(prefix, revision, is_listing, [_decode_row(row) for row in changes])
-        for prefix, revision, is_listing, changes in rows
+    return [_decode_update(*row) for row in rows]
+
+
+_Number = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
+_ChangeRow = tuple[str, bytes | None, _Number]
+_UpdateRow = tuple[str, _Number, bool, list[_ChangeRow]]
+_UpdateRowWithEra = tuple[str, _Number, bool, list[_ChangeRow], _Number]
+
+
+def _encode_update(update, has_era):
+    changes = [
+        [c.key, getattr(c, "value", None), c.revision.number] for c in update.changes
     ]
+    revision = update.revision
+    row = [update.prefix, revision.number, update.is_listing, changes]
+    return [*row, revision.era] if has_era else row
 
 
-_Revision = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
-_Row = tuple[str, bytes | None, _Revision]
+def _decode_rows(data):
+    try:
+        return decode_msgpack(data, list[_UpdateRow])
+    except InvalidDataError:
+        return decode_msgpack(data, list[_UpdateRowWithEra])
+
 
+def _decode_update(prefix, number, is_listing, rows, era=0):
+    changes = [_decode_change(row, era) for row in rows]
+    return FeedUpdate(prefix, Revision(era, number), is_listing, changes)
 
-def _decode_row(row):
-    key, value, revision = row
+
+def _decode_change(row, era):
+    key, value, number = row
+    revision = Revision(era, number)
     if value is None:
         return RemovedKey(key, revision)
     return StoredItem(key, value, revision)
+
+
+def _decode_revision(text):
+    """Return the `Revision` of a text, or None if it is invalid."""
+    era, separator, number = text.rpartition(b".")
+    parts = [parse_digits(era) if separator else 0, parse_digits(number)]
+    return None if None in parts else Revision(*parts)
--- a/packages/cyclamentally-calls/cyclamentally_calls/host_entries.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/host_entries.py
@@ -34,7 +34,8 @@
             return entry
         self.counters.add("entries_refused_total", "unreadable")
         if self.refused.get(item.key) != item.revision:
-            self.log.write("entry_refused", key=item.key, revision=item.revision)
+            revision = str(item.revision)
+            self.log.write("entry_refused", key=item.key, revision=revision)
             self.refused[item.key] = item.revision
         if len(self.refused) > MAX_REFUSED_KEYS:
             del self.refused[next(iter(self.refused))]
--- a/packages/cyclamentally-calls/cyclamentally_calls/peer_state.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/peer_state.py
@@ -5,6 +5,7 @@
 from msgspec.json import encode
 
 from cyclamentally.records import Record
+from cyclamentally.revisions import Revision
 from cyclamentally.store_outcomes import StoredItem
 from cyclamentally_calls.decoding import (
     InvalidDataError,
@@ -29,7 +30,7 @@
     configuration : StoredItem
         The configuration as read from the store.
     hosts : list
-        Pairs of `HostEntry` and revision.
+        Pairs of `HostEntry` and `Revision`.
     """
 
     __slots__ = ("configuration", "hosts")
@@ -42,14 +43,17 @@
 def encode_state(state):
     """Return the bytes of a `PeerState`."""
     item = state.configuration
-    return encode(
-        {
-            "key": item.key,
-            "value": b64encode(item.value).decode(),
-            "revision": item.revision,
-            "hosts": [[encode_entry(e).decode(), r] for e, r in state.hosts],
-        }
-    )
+    content = {
+        "key": item.key,
+        "value": b64encode(item.value).decode(),
+        "revision": item.revision.number,
+        "hosts": [[encode_entry(e).decode(), r.number] for e, r in state.hosts],
+    }
+    eras = [item.revision.era, *(r.era for _, r in state.hosts)]
+    if any(eras):
+        # Of the configuration and of each host; an earlier build ignores the field.
+        content["eras"] = eras
+    return encode(content)
 
 
 def decode_state(body):
@@ -59,18 +63,30 @@
     """
     try:
         content = decode_json(body)
-        key, revision, rows = (content[name] for name in ("key", "revision", "hosts"))
+        key, number, rows = (content[name] for name in ("key", "revision", "hosts"))
         value = b64decode(content["value"], validate=True)
+        eras = content.get("eras", [0] * (1 + len(rows)))
     except (InvalidDataError, KeyError, TypeError, ValueError):
         return None
-    if not has_fields([key, revision], (is_text, is_integer)):
+    if not has_fields([key, number], (is_text, is_integer)):
         return None
     if not isinstance(rows, list):
         return None
-    valid = (row for row in rows if has_fields(row, (is_text, is_integer)))
-    hosts = [(decode_entry(text), r) for text, r in valid]
-    known = [pair for pair in hosts if pair[0] is not None]
-    return PeerState(StoredItem(key, value, revision), known)
+    if not has_fields(eras, [is_integer] * (1 + len(rows))):
+        return None
+    era, *host_eras = eras
+    hosts = [_decode_host(*pair) for pair in zip(rows, host_eras, strict=True)]
+    known = [host for host in hosts if host is not None]
+    return PeerState(StoredItem(key, value, Revision(era, number)), known)
+
+
+def _decode_host(row, era):
+    """Return the `HostEntry` and `Revision` of a row, or None if it is invalid."""
+    if not has_fields(row, (is_text, is_integer)):
+        return None
+    text, number = row
+    entry = decode_entry(text)
+    return None if entry is None else (entry, Revision(era, number))
 
 
 def state_response(body):
--- a/packages/cyclamentally-calls/cyclamentally_calls/store_client.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_client.py
@@ -28,30 +28,43 @@
         Event loop.
     address : str
         ``IP:port`` of the store.
+    dialect : StoreDialect
+        Encoding of store calls.
     counters : Counters
         Metrics.
     log : DecisionLog
         Structured log.
     on_recovery : callable
         Called when the store is available again.
+    on_restore : callable
+        Called when the store has been restored from a copy, with the era before and
+        who has told the new one. Calls in flight have to be replaced: the store may
+        have received them before or after.
     """
 
     __slots__ = (
         "address",
         "counters",
+        "dialect",
+        "era",
         "health",
         "log",
         "loop",
         "on_recovery",
+        "on_restore",
         "pool",
     )
 
-    def __init__(self, loop, address, counters, log, on_recovery):
+    def __init__(self, loop, address, dialect, counters, log, on_recovery, on_restore):
         self.loop = loop
         self.address = address
+        self.dialect = dialect
         self.counters = counters
         self.log = log
         self.on_recovery = on_recovery
+        self.on_restore = on_restore
+        # The latest era known; None before the first answer.
+        self.era = None
         self.pool = ConnectionPool(
             loop, IDLE_TIMEOUT_S, CONNECT_TIMEOUT_S, ACK_TIMEOUT_S
         )
@@ -83,6 +96,27 @@
         """Close the connections."""
         self.pool.close()
 
+    def note_era(self, era, source):
+        """Note an era of the store; returns whether it has been restored since.
+
+        Parameters
+        ----------
+        era : int
+            The era of an answer, or of an update of another node.
+        source : str
+            Who has told it, for log and metrics.
+        """
+        known = self.era
+        if known is not None and era <= known:
+            return False
+        self.era = era
+        if known is None:
+            return False
+        self.counters.add("store_restores_total", source)
+        self.health.restored(self.loop.clock())
+        self.on_restore(known, source)
+        return True
+
     def _deliver(self, call, on_outcome, result):
         """Report the outcome; a call has failed if its outcome cannot be handled.
 
@@ -93,17 +127,32 @@
             self.loop.attempt(self._finish, call, on_outcome, failure)
 
     def _finish(self, call, on_outcome, result):
-        if isinstance(result, Answered):
-            outcome = call.decode(result.response.status, result.response.body)
+        if not isinstance(result, Answered):
+            self._report(StoreFailed(result.detail), on_outcome)
+            return
+        era = self.dialect.read_era(result.response)
+        outcome = call.decode(result.response)
+        if isinstance(outcome, StoreFailed):
+            self._report(outcome, on_outcome)
+        elif self.note_era(era, "store"):
+            # The caller has already replaced the call.
+            self._report(outcome, None)
+        elif era < self.era:
+            self.counters.add("store_answers_outdated_total")
+            detail = f"the answer is of era {era}, before the known {self.era}"
+            self._report(StoreFailed(detail), on_outcome)
         else:
-            outcome = StoreFailed(result.detail)
+            self._report(outcome, on_outcome)
+
+    def _report(self, outcome, on_outcome):
         if isinstance(outcome, StoreFailed):
             self.counters.add("store_failures_total")
             self._log_changes(self.health.failed(outcome.detail))
         elif changes := self.health.answered(self.loop.clock()):
             self._log_changes(changes)
             self.on_recovery()
-        on_outcome(outcome)
+        if on_outcome is not None:
+            on_outcome(outcome)
 
     def _log_changes(self, changes):
         for change in changes:
--- a/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
@@ -114,7 +114,9 @@
         self.place = place
         self.counters = counters
         self.log = log
-        self.client = StoreClient(loop, address, counters, log, self._resync)
+        self.client = StoreClient(
+            loop, address, dialect, counters, log, self._resync, self._relist
+        )
         self.timers = EventTimers(loop)
         key = HOSTS_PREFIX + place.name
         self.registration = HostRegistration(
@@ -186,7 +188,9 @@
         if isinstance(outcome, Refused):
             self.counters.add("configurations_refused_total", outcome.kind)
             self.log.write(
-                "configuration_refused", revision=item.revision, detail=outcome.detail
+                "configuration_refused",
+                revision=str(item.revision),
+                detail=outcome.detail,
             )
             return
         table = outcome.value
@@ -194,7 +198,9 @@
             return
         self.table = table
         self.configuration = item
-        self.log.write("configuration", version=table.version, revision=item.revision)
+        self.log.write(
+            "configuration", version=table.version, revision=str(item.revision)
+        )
         self._notify(RoutesReplaced(table))
 
     def replace_hosts(self, update):
@@ -330,6 +336,7 @@
         self._report_source()
 
     def _apply_relayed(self, update):
+        self.client.note_era(update.revision.era, "relay")
         for watch in self.watches.values():
             if watch.prefix == update.prefix:
                 self._fire_watch(watch, "relayed", update)
@@ -359,6 +366,19 @@
         if self.registration.is_retrying:
             self.registration.fire("retry")
 
+    def _relist(self, known_era, source):
+        """List all items anew after the store was restored."""
+        revision = max(watch.revision for watch in self.watches.values())
+        self.log.write(
+            "store_restored",
+            era=self.client.era,
+            known=known_era,
+            revision=str(revision),
+            source=source,
+        )
+        for watch in self.watches.values():
+            self._fire_watch(watch, "restored")
+
     def _tick(self):
         self.timer = self.loop.call_after(TICK_S, self._tick)
         available_since = self.client.health.available_since
--- a/packages/cyclamentally-calls/cyclamentally_calls/tests/test_feed_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/tests/test_feed_task.py
@@ -2,6 +2,7 @@
 
 from cyclamentally.feed_log import FeedUpdate
 from cyclamentally.feeds import Feed
+from cyclamentally.revisions import Revision
 from cyclamentally.store_outcomes import StoredItem
 from cyclamentally_calls.call_events import (
     FeedRequest,
@@ -16,8 +17,16 @@
 from cyclamentally_calls.http_codec import Request
 from cyclamentally_calls.loop import Task
 
-LISTING = FeedUpdate("c/", 10, True, [StoredItem("c/x", b"old", 4)])
-CHANGE = FeedUpdate("c/", 11, False, [StoredItem("c/x", b"new", 11)])
+
+def update(number, is_listing, value, written, era=1):
+    item = StoredItem("c/x", value, Revision(era, written))
+    return FeedUpdate("c/", Revision(era, number), is_listing, [item])
+
+
+LISTING = update(10, True, b"old", 4)
+CHANGE = update(11, False, b"new", 11)
+# The store came back from a copy.
+RESTORED = update(5, True, b"old", 4, 2)
 
 
 class Recorder(Task):
@@ -65,7 +74,8 @@
 @pytest.fixture
 def ask(task, gate):
     def make(*revisions):
-        request = FeedRequest(gate, Exchange(encode_feed_target(revisions)))
+        target = encode_feed_target([Revision(1, number) for number in revisions])
+        request = FeedRequest(gate, Exchange(target))
         task.receive(request)
         return request
 
@@ -104,6 +114,14 @@
     assert [change.value for change in update.changes] == [b"new"]
 
 
+def test_follower_hears_at_once_that_the_store_was_restored(task, ask, bodies):
+    become_source(task)
+    ask(10, 0)
+    task.receive(ItemsChanged(RESTORED))
+    ask(10, 0)
+    assert [decode_updates(body) for body in bodies()] == [[RESTORED], [RESTORED]]
+
+
 def test_request_without_changes_is_answered_in_time(task, ask, bodies, pump):
     become_source(task)
     ask(10, 0)
--- a/packages/cyclamentally-calls/cyclamentally_calls/tests/test_odd_messages.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/tests/test_odd_messages.py
@@ -5,6 +5,7 @@
 import pytest
 
 from cyclamentally.errors import ANSWERS, Ran
+from cyclamentally.revisions import Revision
 from cyclamentally_calls.entry_codec import decode_entry
 from cyclamentally_calls.feed_codec import (
     decode_feed_target,
@@ -75,12 +76,20 @@
     hosts += [[dumps(ENTRY), 4], [dumps(ENTRY), "4"], [5, 4], None, [dumps(ENTRY)]]
     state = {"key": "k", "value": "e30=", "revision": 5, "hosts": hosts}
     found = decode_state(dumps(state).encode())
-    assert [(entry.name, revision) for entry, revision in found.hosts] == [("h1", 4)]
+    known = [(entry.name, revision) for entry, revision in found.hosts]
+    assert known == [("h1", Revision(0, 4))]
+
+
+@pytest.mark.parametrize("eras", [3, [], [3], [3, 2, 1], [3, "2"], [3, -1], None, "32"])
+def test_state_with_odd_eras_is_refused(eras):
+    state = {"key": "k", "value": "e30=", "revision": 5, "hosts": [[dumps(ENTRY), 4]]}
+    assert decode_state(dumps({**state, "eras": eras}).encode()) is None
 
 
 @pytest.mark.parametrize("text", [b"9" * 5_000, b"9" * 400], ids=["5000", "400"])
 def test_revision_with_too_many_digits_is_refused(text):
-    assert decode_feed_target(encode_feed_target([]) + text + b",1", 2) is None
+    for revision in (text, text + b".1", b"1." + text):
+        assert decode_feed_target(encode_feed_target([]) + revision + b",1", 2) is None
 
 
 @pytest.mark.parametrize("value", ODD_VALUES.values(), ids=ODD_VALUES)
--- a/packages/cyclamentally-calls/cyclamentally_calls/tests/test_wire_samples.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/tests/test_wire_samples.py
@@ -13,9 +13,15 @@
 from cyclamentally.gate_messages import Load
 from cyclamentally.hosts import HostEntry, UpstreamEntry
 from cyclamentally.records import Record
+from cyclamentally.revisions import NO_REVISION, Revision
 from cyclamentally.store_outcomes import RemovedKey, StoredItem
 from cyclamentally_calls.entry_codec import decode_entry, encode_entry
-from cyclamentally_calls.feed_codec import decode_updates, encode_updates
+from cyclamentally_calls.feed_codec import (
+    decode_feed_target,
+    decode_updates,
+    encode_feed_target,
+    encode_updates,
+)
 from cyclamentally_calls.peer_codec import (
     PeerTicket,
     decode_load,
@@ -35,10 +41,26 @@
 )
 TICKET = PeerTicket("u1", "shop", "r1", 1, 0.25, 1.5, "10.0.0.1:80", 7)
 REPEAT = PeerTicket("u1", "shop", "r1", 1, 0.25, 1.5, "10.0.0.1:80", 7, True)
-UPDATES = [
-    FeedUpdate("a/", 7, True, [StoredItem("a/1", b"{}", 5)]),
-    FeedUpdate("b/", 9, False, [RemovedKey("b/1", 8)]),
-]
+
+
+def updates(era):
+    return [
+        FeedUpdate(
+            "a/", Revision(era, 7), True, [StoredItem("a/1", b"{}", Revision(era, 5))]
+        ),
+        FeedUpdate(
+            "b/", Revision(era, 9), False, [RemovedKey("b/1", Revision(era, 8))]
+        ),
+    ]
+
+
+def decode_target(target):
+    return decode_feed_target(target, 2)
+
+
+def state(*eras):
+    configuration, host = [Revision(era, 5 - i) for i, era in enumerate(eras)]
+    return PeerState(StoredItem("k", b"{}", configuration), [(ENTRY, host)])
 
 
 def header(encode):
@@ -83,17 +105,44 @@
     (
         b'{"key":"k","value":"e30=","revision":5,"hosts":[["[\\"h1\\",\\"d1\\",'
         b'\\"r1\\",\\"10.0.0.1:80\\",[\\"u1\\",\\"shop\\",9,false]]",4]]}',
-        PeerState(StoredItem("k", b"{}", 5), [(ENTRY, 4)]),
+        state(0, 0),
+        encode_state,
+        decode_state,
+    ),
+    (
+        b'{"key":"k","value":"e30=","revision":5,"hosts":[["[\\"h1\\",\\"d1\\",'
+        b'\\"r1\\",\\"10.0.0.1:80\\",[\\"u1\\",\\"shop\\",9,false]]",4]],'
+        b'"eras":[3,2]}',
+        state(3, 2),
         encode_state,
         decode_state,
     ),
     (
         b"x\x01\x9b4eQ\xa2>\xfb\xe1\x89\x93\x17'\xea\x1b\x1ea\xaa\xaee\x9d\xb2(I"
         b"\x9f\xf3\x10P I\xdf\xf0\x00\x07\x00\xe4\xc0\rQ",
-        UPDATES,
+        updates(0),
+        encode_updates,
+        decode_updates,
+    ),
+    (
+        b"x\x01\x9b4uQ\xa2>\xfb\xe1\x89\x93\x17'\xea\x1b\x1ea\xaa\xaeee\x9e\xba(I"
+        b"\x9f\xf3\x10P$I\xdf\xf0\x00\x073\x00\xf9\xe2\rY",
+        updates(3),
         encode_updates,
         decode_updates,
     ),
+    (
+        b"/cyclamentally-peer/feed?after=12,0",
+        (Revision(0, 12), NO_REVISION),
+        encode_feed_target,
+        decode_target,
+    ),
+    (
+        b"/cyclamentally-peer/feed?after=3.12,0",
+        (Revision(3, 12), NO_REVISION),
+        encode_feed_target,
+        decode_target,
+    ),
 ]
 NAMES = [
     "ticket",
@@ -104,13 +153,17 @@
     "entry",
     "entry-leaving",
     "state",
+    "state-with-eras",
     "updates",
+    "updates-with-era",
+    "request",
+    "request-with-era",
 ]
 
 
 def fields(message):
     """Return what a message holds, for classes without a comparison."""
-    if isinstance(message, Record | Refused | list):
+    if isinstance(message, Record | Refused | list | tuple):
         return message
     return {name: getattr(message, name) for name in message.__slots__}
 
--- a/packages/cyclamentally/cyclamentally/feed_log.py
+++ b/packages/cyclamentally/cyclamentally/feed_log.py
@@ -3,6 +3,7 @@
 from collections import deque
 
 from cyclamentally.records import Record
+from cyclamentally.revisions import NO_REVISION
 from cyclamentally.store_outcomes import StoredItem
 
 # Changes kept for nodes that are behind; others get a listing.
@@ -16,8 +17,9 @@
     ----------
     prefix : str
         The prefix.
-    revision : int
-        Revision of the store up to which the update is complete.
+    revision : Revision
+        Revision of the store up to which the update is complete; all its items are
+        of the same era.
     is_listing : bool
         Whether the changes are all items, which replace the known ones.
     changes : list of StoredItem or RemovedKey
@@ -60,8 +62,8 @@
         self.items = {}
         self.changes = deque()
         # The log has all changes after the first revision, up to the last one.
-        self.first_revision = 0
-        self.revision = 0
+        self.first_revision = NO_REVISION
+        self.revision = NO_REVISION
 
     def apply(self, update):
         """Apply a `FeedUpdate`; returns whether anything has changed."""
@@ -83,7 +85,7 @@
 
         Parameters
         ----------
-        revision : int
+        revision : Revision
             Revision up to which the node is complete.
         """
         if revision >= self.revision:
@@ -101,7 +103,7 @@
         known = {item.key: item.revision for item in self.items.values()}
         is_same = known == {item.key: item.revision for item in items.values()}
         self.revision = update.revision
-        if is_same and self.first_revision:
+        if is_same and self.first_revision != NO_REVISION:
             return False
         self.items = items
         self.changes.clear()
--- a/packages/cyclamentally/cyclamentally/hosts.py
+++ b/packages/cyclamentally/cyclamentally/hosts.py
@@ -2,6 +2,7 @@
 
 from cyclamentally.chart import runs_chart
 from cyclamentally.records import Record
+from cyclamentally.revisions import NO_REVISION
 
 # Required by the users: an entry that a recovered store has not listed by then is
 # gone.
@@ -70,7 +71,7 @@
     def __init__(self):
         self.state = self.chart.initial
         self.entry = None
-        self.revision = 0
+        self.revision = NO_REVISION
         self.unlisted_since = 0.0
 
     @property
@@ -132,7 +133,7 @@
         Parameters
         ----------
         listed : list
-            Pairs of `HostEntry` and revision.
+            Pairs of `HostEntry` and `Revision`.
         now : float
             Time in seconds.
         """
--- a/packages/cyclamentally/cyclamentally/registration.py
+++ b/packages/cyclamentally/cyclamentally/registration.py
@@ -4,6 +4,7 @@
 from cyclamentally.effects import StartTimer
 from cyclamentally.limits import Backoff
 from cyclamentally.records import Record
+from cyclamentally.revisions import NO_REVISION
 from cyclamentally.store_outcomes import FIRST_RETRY_S, LONGEST_RETRY_S
 
 # A host that has lost power stays listed for at most this time.
@@ -77,7 +78,7 @@
         self.entry = None
         self.written = None
         # Revision of the written entry. Reports of earlier ones are outdated.
-        self.written_revision = 0
+        self.written_revision = NO_REVISION
         self.renew_interval_s = RENEW_INTERVAL_S
         self.lease = 0
 
--- a/packages/cyclamentally/cyclamentally/store_health.py
+++ b/packages/cyclamentally/cyclamentally/store_health.py
@@ -26,6 +26,14 @@
         """Handle a call without a usable answer; returns a change of the state."""
         return self.chart.fire(self, "failed", detail)
 
+    def restored(self, now):
+        """Handle that the store has come back from a copy."""
+        self.chart.fire(self, "restored", now)
+
+    def note_restoration(self, now):
+        """Store the time in seconds since when the restored store is available."""
+        self.available_since = now
+
     def note_return(self, now):
         """Store the time in seconds since when the store is available."""
         self.available_since = now
--- a/packages/cyclamentally/cyclamentally/store_outcomes.py
+++ b/packages/cyclamentally/cyclamentally/store_outcomes.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from cyclamentally.records import Record
+from cyclamentally.revisions import Revision
 
 # Delays between calls to a failing store: entries have to be listed again within
 # 2 s of its return.
@@ -21,7 +22,7 @@
     body : bytes
         Encoded body; empty for none.
     decode : callable
-        Takes the status and body of the answer and returns an outcome.
+        Takes the `Response` of the store and returns an outcome.
     """
 
     __slots__ = ("method", "target", "body", "decode")
@@ -34,7 +35,7 @@
 
 
 class StoredItem(Record):
-    """A key with its value and the revision of its last change."""
+    """A key with its value and the `Revision` of its last change."""
 
     __slots__ = ("key", "value", "revision")
 
@@ -45,7 +46,7 @@
 
 
 class RemovedKey(Record):
-    """A key that was removed, with the revision of its removal."""
+    """A key that was removed, with the `Revision` of its removal."""
 
     __slots__ = ("key", "revision")
 
@@ -60,7 +61,7 @@
 
     items: list
     has_more: bool
-    revision: int
+    revision: Revision
     unreadable: int = 0
 
 
@@ -69,7 +70,7 @@
     """Items and removals in order, and the revision to continue from."""
 
     changes: list
-    revision: int
+    revision: Revision
     unreadable: int = 0
 
 
@@ -100,7 +101,7 @@
 class Written:
     """All changes of a call were stored."""
 
-    revision: int
+    revision: Revision
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,10 +117,14 @@
 
 
 class StoreDialect(ABC):
-    """Encoding of calls to the store; each method returns a `StoreCall`."""
+    """Encoding of calls to the store; those that encode one return a `StoreCall`."""
 
     __slots__ = ()
 
+    @abstractmethod
+    def read_era(self, response):
+        """Return the store's era in any of its responses; 0 if it names none."""
+
     @abstractmethod
     def read_page(self, prefix, after):
         """Read the items of a prefix that follow a key: `Page`."""
@@ -132,8 +137,8 @@
         ----------
         prefix : str
             Prefix of the keys.
-        revision : int
-            Last known revision.
+        revision : Revision
+            Last known revision; must be of the store's present era.
         wait_s : float
             Longest wait, in seconds.
         may_be_stale : bool
--- a/packages/cyclamentally/cyclamentally/tests/test_hosts.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_hosts.py
@@ -10,6 +10,7 @@
     UpstreamEntry,
 )
 from cyclamentally.placing import NearestWithCapacity, UpstreamViews
+from cyclamentally.revisions import Revision
 from cyclamentally.routes import (
     CallerLimits,
     Destination,
@@ -22,6 +23,10 @@
 SINGLE = (Destination("shop", 1),)
 
 
+def at(number, era=1):
+    return Revision(era, number)
+
+
 def entry(name, domain="d1", region="r1", is_leaving=False, upstream="u"):
     announced = UpstreamEntry(f"{upstream}-{name}", "shop", 2, is_leaving)
     return HostEntry(name, domain, region, "10.0.0.1:1", announced)
@@ -34,7 +39,7 @@
 @pytest.fixture
 def directory():
     directory = HostDirectory()
-    directory.replace([(entry("a"), 1), (entry("b"), 2)], 0.0)
+    directory.replace([(entry("a"), at(1)), (entry("b"), at(2))], 0.0)
     return directory
 
 
@@ -45,7 +50,7 @@
 def test_removed_entry_is_used_until_the_store_was_available_for_the_grace_period(
     directory,
 ):
-    directory.remove("a", 3, 1.0)
+    directory.remove("a", at(3), 1.0)
     directory.tick(10.0, None)
     assert names(directory) == ["a", "b"]
     directory.tick(10.0 + UNLISTED_GRACE_S, 10.0)
@@ -53,32 +58,41 @@
 
 
 def test_an_entry_that_comes_back_stays(directory):
-    directory.remove("a", 3, 1.0)
-    directory.put(entry("a"), 4)
+    directory.remove("a", at(3), 1.0)
+    directory.put(entry("a"), at(4))
     directory.tick(100.0, 0.0)
     assert names(directory) == ["a", "b"]
 
 
 def test_an_unlisted_host_that_does_not_answer_is_forgotten(directory):
-    directory.remove("a", 3, 1.0)
+    directory.remove("a", at(3), 1.0)
     directory.fail("a")
     directory.fail("b")
     assert names(directory) == ["b"]
 
 
 def test_a_leaving_upstream_is_dropped_at_once(directory):
-    directory.put(entry("a", is_leaving=True), 3)
+    directory.put(entry("a", is_leaving=True), at(3))
     assert names(directory) == ["b"]
 
 
 def test_an_older_revision_changes_nothing(directory):
-    directory.put(entry("a", is_leaving=True), 5)
-    directory.put(entry("a"), 4)
-    directory.remove("b", 1, 0.0)
+    directory.put(entry("a", is_leaving=True), at(5))
+    directory.put(entry("a"), at(4))
+    directory.remove("b", at(1), 0.0)
     directory.tick(100.0, 0.0)
     assert names(directory) == ["b"]
 
 
+def test_lower_revision_of_a_later_era_is_newer(directory):
+    directory.put(entry("a", is_leaving=True), at(9))
+    directory.put(entry("a", upstream="v"), at(3, 2))
+    directory.remove("b", at(1, 2), 0.0)
+    directory.put(entry("a", is_leaving=True), at(20))
+    directory.tick(100.0, 0.0)
+    assert names(directory) == ["a"]
+
+
 def test_the_nearest_upstream_is_chosen_while_it_has_room():
     views = UpstreamViews("d1", "r1", NearestWithCapacity(Random(1)))
     entries = [entry("near"), entry("far", "d9", "r9"), entry("mid", "d2")]
--- a/packages/cyclamentally/cyclamentally/tests/test_watching.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_watching.py
@@ -10,6 +10,7 @@
     RequestLease,
     WriteEntry,
 )
+from cyclamentally.revisions import Revision
 from cyclamentally.store_outcomes import (
     Changes,
     HistoryLost,
@@ -20,7 +21,13 @@
     StoreFailed,
     Written,
 )
-from cyclamentally.watching import AwaitChanges, ReadPage, Watch, WatchSink
+from cyclamentally.watching import (
+    MAX_STALENESS_S,
+    AwaitChanges,
+    ReadPage,
+    Watch,
+    WatchSink,
+)
 
 
 class Sink(WatchSink):
@@ -57,12 +64,16 @@
 def watch(sink, clock):
     watch = Watch("p/", sink, Random(1), clock, 2.0, polls_series=True)
     watch.begin_listing()
-    watch.fire("last_page", Page([item("p/a", 3)], False, 9))
+    watch.fire("last_page", Page([item("p/a", 3)], False, at(9)))
     return watch
 
 
-def item(key, revision):
-    return StoredItem(key, b"x", revision)
+def at(number, era=1):
+    return Revision(era, number)
+
+
+def item(key, number, era=1):
+    return StoredItem(key, b"x", at(number, era))
 
 
 FAILED = StoreFailed("status 503")
@@ -71,46 +82,46 @@
 def test_pages_are_read_to_the_end_and_watched_from_the_first(sink, clock):
     watch = Watch("p/", sink, Random(1), clock, 2.0)
     assert watch.begin_listing() == [ReadPage("p/", "")]
-    effects = watch.fire("page", Page([item("p/a", 3)], True, 9))
+    effects = watch.fire("page", Page([item("p/a", 3)], True, at(9)))
     assert effects == [ReadPage("p/", "p/a")]
-    effects = watch.fire("last_page", Page([item("p/b", 4)], False, 12))
-    assert effects[0].revision == 9
+    effects = watch.fire("last_page", Page([item("p/b", 4)], False, at(12)))
+    assert effects[0].revision == at(9)
     assert sink.listings == [["p/a", "p/b"]]
 
 
 def test_watch_continues_from_the_revision_of_the_last_change(watch, sink):
-    changes = Changes([item("p/a", 10), RemovedKey("p/b", 11)], 11)
+    changes = Changes([item("p/a", 10), RemovedKey("p/b", at(11))], at(11))
     watch.polls_series = False
     watch.fire("changes", changes)
     effects = watch.fire("retry")
     assert isinstance(effects[0], AwaitChanges)
-    assert effects[0].revision == 11
+    assert effects[0].revision == at(11)
     assert len(sink.changes) == 2
 
 
 def test_series_of_changes_is_replaced_by_one_listing(watch, clock):
     for step in range(2):
         clock.now += 0.8
-        watch.fire("changes", Changes([item("p/a", 10 + step)], 10 + step))
+        watch.fire("changes", Changes([item("p/a", 10 + step)], at(10 + step)))
         effects = watch.fire("retry")
     assert effects == [ReadPage("p/", "")]
-    watch.fire("last_page", Page([item("p/a", 19)], False, 19))
+    watch.fire("last_page", Page([item("p/a", 19)], False, at(19)))
     assert watch.fire("retry") == [ReadPage("p/", "")]
-    effects = watch.fire("last_page", Page([item("p/a", 19)], False, 19))
+    effects = watch.fire("last_page", Page([item("p/a", 19)], False, at(19)))
     assert isinstance(effects[0], AwaitChanges)
-    assert effects[0].revision == 19
+    assert effects[0].revision == at(19)
 
 
 def test_several_changes_at_once_make_a_series(watch, clock):
     """The items replace one another, but each would be transferred in full."""
-    watch.fire("changes", Changes([item("p/a", 10), item("p/a", 11)], 11))
+    watch.fire("changes", Changes([item("p/a", 10), item("p/a", 11)], at(11)))
     assert watch.fire("retry") == [ReadPage("p/", "")]
 
 
 def test_changes_that_took_seconds_to_arrive_are_a_series(watch, clock):
     for step in range(2):
         clock.now += 3.0
-        watch.fire("changes", Changes([item("p/a", 10 + step)], 10 + step))
+        watch.fire("changes", Changes([item("p/a", 10 + step)], at(10 + step)))
         effects = watch.fire("retry")
     assert effects == [ReadPage("p/", "")]
 
@@ -118,7 +129,7 @@
 def test_a_single_change_costs_one_call(watch, clock):
     for step in range(3):
         clock.now += 10.0
-        watch.fire("changes", Changes([item("p/a", 10 + step)], 10 + step))
+        watch.fire("changes", Changes([item("p/a", 10 + step)], at(10 + step)))
         assert isinstance(watch.fire("retry")[0], AwaitChanges)
 
 
@@ -136,8 +147,8 @@
     """A watch that was interrupted may have omitted earlier changes."""
     watch.fire("failed", FAILED)
     assert watch.fire(event) == [ReadPage("p/", "")]
-    effects = watch.fire("last_page", Page([item("p/a", 12)], False, 13))
-    assert effects[0].revision == 13
+    effects = watch.fire("last_page", Page([item("p/a", 12)], False, at(13)))
+    assert effects[0].revision == at(13)
     assert sink.listings[-1] == ["p/a"]
 
 
@@ -145,6 +156,59 @@
     assert watch.fire("store_returned") == [ReadPage("p/", "")]
 
 
+def bring_to(watch, state):
+    """Bring a watch that waits for changes to another state."""
+    if state == "listing":
+        watch.fire("history_lost", HistoryLost())
+    elif state in ("gathering", "polling"):
+        watch.fire("changes", Changes([item("p/a", 10), item("p/b", 11)], at(11)))
+        if state == "polling":
+            watch.fire("retry")
+    elif state == "pausing":
+        watch.fire("failed", FAILED)
+    assert watch.state == state
+
+
+@pytest.mark.parametrize(
+    "state", ["listing", "watching", "gathering", "polling", "pausing"]
+)
+def test_all_items_are_listed_again_after_a_restore(watch, sink, state):
+    bring_to(watch, state)
+    assert watch.fire("restored") == [ReadPage("p/", "")]
+    effects = watch.fire("last_page", Page([item("p/a", 2, 2)], False, at(5, 2)))
+    assert effects[0].revision == at(5, 2)
+    assert sink.listings[-1] == ["p/a"]
+
+
+def test_listing_has_no_page_of_an_earlier_era(watch, sink):
+    bring_to(watch, "listing")
+    watch.fire("page", Page([item("p/gone", 3)], True, at(12)))
+    watch.fire("restored")
+    watch.fire("last_page", Page([item("p/a", 2, 2)], False, at(5, 2)))
+    assert sink.listings[-1] == ["p/a"]
+    assert watch.revision == at(5, 2)
+
+
+def test_changes_are_read_up_to_date_for_some_time_after_a_restore(sink, clock):
+    """A stale read may be of before the restore."""
+    watch = Watch("p/", sink, Random(1), clock, 2.0, may_be_stale=True)
+    clock.now = 100.0
+    watch.fire("restored")
+    effects = watch.fire("last_page", Page([], False, at(9, 2)))
+    assert not effects[0].may_be_stale
+    clock.now += MAX_STALENESS_S
+    effects = watch.fire("changes", Changes([], at(9, 2)))
+    assert effects[0].may_be_stale
+
+
+def test_follower_takes_a_lower_revision_of_a_later_era_only(watch, sink):
+    watch.fire("follow")
+    assert watch.fire("restored") == []
+    watch.fire("relayed", FeedUpdate("p/", at(5, 2), True, [item("p/b", 4, 2)]))
+    watch.fire("relayed", FeedUpdate("p/", at(99), True, [item("p/c", 99)]))
+    assert sink.listings == [["p/a"], ["p/b"]]
+
+
 @pytest.fixture
 def registration():
     return Registration(Random(1))
@@ -154,7 +218,7 @@
     assert isinstance(registration.fire("wanted", "entry 1")[0], RequestLease)
     effects = registration.fire("lease_granted", LeaseGranted(7, 8.0))
     assert effects == [WriteEntry("entry 1", 7)]
-    registration.fire("written", Written(20))
+    registration.fire("written", Written(at(20)))
     assert registration.state == "listed"
     assert registration.fire("renew") == [KeepLease(7)]
 
@@ -163,14 +227,14 @@
     registration.fire("wanted", "entry 1")
     registration.fire("lease_granted", LeaseGranted(7, 8.0))
     registration.fire("wanted", "entry 2")
-    assert registration.fire("written", Written(20)) == [WriteEntry("entry 2", 7)]
+    assert registration.fire("written", Written(at(20))) == [WriteEntry("entry 2", 7)]
 
 
 @pytest.mark.parametrize("event", ["lease_ended", "vanished"])
 def test_an_entry_that_was_lost_gets_a_new_lease(registration, event):
     registration.fire("wanted", "entry 1")
     registration.fire("lease_granted", LeaseGranted(7, 8.0))
-    registration.fire("written", Written(20))
+    registration.fire("written", Written(at(20)))
     assert isinstance(registration.fire(event)[0], RequestLease)
 
 
@@ -186,7 +250,7 @@
 def test_a_watch_asks_for_stale_changes_only_where_it_may(sink, clock, may_be_stale):
     watch = Watch("p/", sink, Random(1), clock, 2.0, may_be_stale=may_be_stale)
     watch.begin_listing()
-    effects = watch.fire("last_page", Page([], False, 9))
+    effects = watch.fire("last_page", Page([], False, at(9)))
     assert [e.may_be_stale for e in effects] == [may_be_stale]
 
 
@@ -196,15 +260,15 @@
 ):
     watch = Watch("p/", sink, Random(1), clock, in_force_s)
     watch.begin_listing()
-    watch.fire("last_page", Page([], False, 9))
-    (wake,) = watch.fire("changes", Changes([item("p/b", 10)], 10))
+    watch.fire("last_page", Page([], False, at(9)))
+    (wake,) = watch.fire("changes", Changes([item("p/b", 10)], at(10)))
     assert 0.3 * in_force_s < wake.delay_s < 0.5 * in_force_s
 
 
 def test_relayed_updates_are_applied_while_a_relay_is_followed(watch, sink):
     watch.fire("follow")
-    watch.fire("relayed", FeedUpdate("p/", 12, False, [item("p/b", 12)]))
-    watch.fire("relayed", FeedUpdate("p/", 11, True, []))
+    watch.fire("relayed", FeedUpdate("p/", at(12), False, [item("p/b", 12)]))
+    watch.fire("relayed", FeedUpdate("p/", at(11), True, []))
     assert [change.key for change in sink.changes] == ["p/b"]
     assert sink.listings == [["p/a"]]
     assert watch.fire("resume") == [ReadPage("p/", "")]
@@ -213,7 +277,7 @@
 def test_late_relayed_update_is_ignored_after_the_relay_was_left(watch, sink):
     watch.fire("follow")
     watch.fire("resume")
-    watch.fire("relayed", FeedUpdate("p/", 99, True, []))
+    watch.fire("relayed", FeedUpdate("p/", at(99), True, []))
     assert sink.listings == [["p/a"]]
 
 
@@ -229,5 +293,5 @@
     registration.renew_interval_s = RELAY_RENEW_INTERVAL_S
     registration.fire("wanted", "entry 1")
     registration.fire("lease_granted", LeaseGranted(7, 8.0))
-    (timer,) = registration.fire("written", Written(20))
+    (timer,) = registration.fire("written", Written(at(20)))
     assert timer.delay_s == RELAY_RENEW_INTERVAL_S
--- a/packages/cyclamentally/cyclamentally/watching.py
+++ b/packages/cyclamentally/cyclamentally/watching.py
@@ -1,12 +1,14 @@
 """Watch on a prefix of the platform's store."""
 
 from abc import ABC, abstractmethod
+from math import inf
 
 from cyclamentally.chart import runs_chart
 from cyclamentally.effects import StartTimer
 from cyclamentally.feed_log import FeedUpdate
 from cyclamentally.limits import Backoff
 from cyclamentally.records import Record
+from cyclamentally.revisions import NO_REVISION
 from cyclamentally.store_outcomes import FIRST_RETRY_S, LONGEST_RETRY_S
 
 # Long-poll time of one call; the store allows 30 s.
@@ -19,6 +21,10 @@
 MAX_SERIES_GAP_S = 5.0
 
 
+# Longest age of what a stale read reports.
+MAX_STALENESS_S = 5.0
+
+
 class ReadPage(Record):
     """Effect: read the items of a prefix that follow a key."""
 
@@ -36,7 +42,7 @@
     ----------
     prefix : str
         Prefix of the keys.
-    revision : int
+    revision : Revision
         Last known revision.
     wait_s : float
         Longest wait, in seconds.
@@ -95,6 +101,7 @@
         "may_be_stale",
         "polls_series",
         "prefix",
+        "restored_at",
         "revision",
         "newest_revision",
         "series",
@@ -118,20 +125,22 @@
         self.may_be_stale = may_be_stale
         self.polls_series = polls_series
         self.changed_at = None
+        self.restored_at = -inf
         self.series = False
-        self.newest_revision = 0
+        self.newest_revision = NO_REVISION
         self.prefix = prefix
         self.sink = sink
         self.state = self.chart.initial
         self.backoff = Backoff(FIRST_RETRY_S, LONGEST_RETRY_S, random)
         self.items = []
-        self.revision = 0
+        self.revision = NO_REVISION
         self.listing_revision = None
 
     @property
     def is_reporting(self):
         """Whether the store has been listed and reports changes to this watch."""
-        return self.revision > 0 and self.state not in ("pausing", "following")
+        is_listed = self.revision != NO_REVISION
+        return is_listed and self.state not in ("pausing", "following")
 
     def fire(self, event, message=None):
         """Run an event and return the effects."""
@@ -166,12 +175,17 @@
 
     def watch(self, message):
         """Wait for changes after the last known revision."""
+        # A stale read may still report what the store held before it was restored.
+        is_settled = self.clock() - self.restored_at >= MAX_STALENESS_S
+        may_be_stale = self.may_be_stale and is_settled
         return [
-            AwaitChanges(
-                self.prefix, self.revision, MAX_WATCH_WAIT_S, self.may_be_stale
-            )
+            AwaitChanges(self.prefix, self.revision, MAX_WATCH_WAIT_S, may_be_stale)
         ]
 
+    def note_restore(self, message):
+        """Store the time at which the store came back from a copy."""
+        self.restored_at = self.clock()
+
     def has_changes(self, changes):
         """Whether an answer has changes."""
         return bool(changes.changes)
@@ -206,7 +220,8 @@
     def has_new_changes(self, page):
         """Whether the listing has a newer revision than known."""
         found = [*self.items, *page.items]
-        return max((item.revision for item in found), default=0) > self.newest_revision
+        newest = max((item.revision for item in found), default=NO_REVISION)
+        return newest > self.newest_revision
 
     def gather(self, message):
         """Delay the next call to collect further changes."""
