--- a/packages/cyclamentally-calls/cyclamentally_calls/host_registration.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/host_registration.py
@@ -38,7 +38,15 @@
         Source of the jitter of retries.
     """
 
-    __slots__ = ("client", "decisions", "dialect", "key", "renew_timeout_s", "timers")
+    __slots__ = (
+        "call",
+        "client",
+        "decisions",
+        "dialect",
+        "key",
+        "renew_timeout_s",
+        "timers",
+    )
 
     def __init__(self, client, dialect, key, timers, random):
         self.client = client
@@ -47,6 +55,8 @@
         self.timers = timers
         self.decisions = Registration(random)
         self.renew_timeout_s = CALL_TIMEOUT_S
+        # The last call.
+        self.call = None
 
     @property
     def has_written(self):
@@ -83,6 +93,12 @@
         if not is_written or change.value != encode_entry(written):
             self.fire("vanished")
 
+    def restore(self):
+        """Write the entry again after a restore of the store."""
+        if self.call is not None:
+            self.call.cancel()
+        self.fire("restored")
+
     def fire(self, event, message=None):
         """Run an event of the chart and make the calls that follow from it."""
         for effect in self.decisions.fire(event, message) or ():
@@ -106,7 +122,7 @@
             call = self.dialect.remove(self.key)
         else:
             raise TypeError(f"unknown effect: {effect!r}")
-        self.client.call(call, self._handle_outcome, timeout_s)
+        self.call = self.client.call(call, self._handle_outcome, timeout_s)
 
     def _handle_outcome(self, outcome):
         self.fire(REGISTRATION_EVENTS[type(outcome)], outcome)
--- a/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
@@ -367,7 +367,7 @@
             self.registration.fire("retry")
 
     def _relist(self, known_era, source):
-        """List all items anew after the store was restored."""
+        """List all items and write the entry again after the store was restored."""
         revision = max(watch.revision for watch in self.watches.values())
         self.log.write(
             "store_restored",
@@ -378,6 +378,7 @@
         )
         for watch in self.watches.values():
             self._fire_watch(watch, "restored")
+        self.registration.restore()
 
     def _tick(self):
         self.timer = self.loop.call_after(TICK_S, self._tick)
--- a/packages/cyclamentally/cyclamentally/tests/test_watching.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_watching.py
@@ -7,6 +7,7 @@
     RELAY_RENEW_INTERVAL_S,
     KeepLease,
     Registration,
+    RemoveEntry,
     RequestLease,
     WriteEntry,
 )
@@ -246,6 +247,28 @@
         assert isinstance(registration.fire("retry")[0], RequestLease)
 
 
+def become_listed(registration):
+    registration.fire("wanted", "entry 1")
+    registration.fire("lease_granted", LeaseGranted(7, 8.0))
+    registration.fire("written", Written(at(20)))
+
+
+@pytest.mark.parametrize("events", [[], ["failed"], ["wanted"], ["lease_ended"]])
+def test_entry_is_written_under_a_new_lease_after_a_restore(registration, events):
+    become_listed(registration)
+    for event in events:
+        registration.fire(event, "entry 2")
+    assert isinstance(registration.fire("restored")[0], RequestLease)
+    effects = registration.fire("lease_granted", LeaseGranted(7, 8.0))
+    assert isinstance(effects[0], WriteEntry)
+
+
+def test_removed_entry_is_removed_again_after_a_restore(registration):
+    become_listed(registration)
+    registration.fire("leave")
+    assert registration.fire("restored") == [RemoveEntry()]
+
+
 @pytest.mark.parametrize("may_be_stale", [False, True])
 def test_a_watch_asks_for_stale_changes_only_where_it_may(sink, clock, may_be_stale):
     watch = Watch("p/", sink, Random(1), clock, 2.0, may_be_stale=may_be_stale)
