--- a/packages/cyclamentally-calls/cyclamentally_calls/peer_state_reader.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/peer_state_reader.py
@@ -19,18 +19,20 @@
         Metrics.
     log : DecisionLog
         Structured log.
+    in_force_s : float
+        Time within which a new configuration must be in force, in seconds.
     on_state : callable
         Takes the `PeerState` of another node.
     """
 
     __slots__ = ("client", "counters", "fallback", "log", "on_state")
 
-    def __init__(self, client, counters, log, on_state):
+    def __init__(self, client, counters, log, in_force_s, on_state):
         self.client = client
         self.counters = counters
         self.log = log
         self.on_state = on_state
-        self.fallback = PeerFallback()
+        self.fallback = PeerFallback(in_force_s)
 
     def consider(self, seen, own_version):
         """Request the state of a node if that may give a newer configuration.
--- a/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
@@ -128,7 +128,9 @@
         self.entries = HostEntryReader(counters, log)
         self.table = None
         self.configuration = None
-        self.peers = PeerStateReader(self.client, counters, log, self._merge_peer_state)
+        self.peers = PeerStateReader(
+            self.client, counters, log, in_force_s, self._merge_peer_state
+        )
         self.watches = self._make_watches(config_prefix, in_force_s, random)
         # The call in flight of each watch, by the watch's prefix.
         self.watch_calls = {}
@@ -260,9 +262,11 @@
 
     def _merge_peer_state(self, state):
         """Merge the state of another node; older items are ignored."""
-        for entry, revision in state.hosts:
-            self.directory.put(entry, revision)
-        self._notify_hosts()
+        # An available store lists the hosts; the other node may use some that are gone.
+        if self.client.health.state != "available":
+            for entry, revision in state.hosts:
+                self.directory.put(entry, revision)
+            self._notify_hosts()
         self.apply_configuration(state.configuration)
 
     def _notify(self, message):
--- a/packages/cyclamentally/cyclamentally/store_health.py
+++ b/packages/cyclamentally/cyclamentally/store_health.py
@@ -46,12 +46,25 @@
 
 
 class PeerFallback:
-    """Decides when to read the configuration from another node during an outage."""
+    """Decides when to read the configuration from another node.
 
-    __slots__ = ("last_asked_at",)
+    That is during an outage of the store, and when an available store does not report
+    a version in time that another node uses: it may have lost it.
 
-    def __init__(self):
+    Parameters
+    ----------
+    in_force_s : float
+        Time within which a new configuration must be in force, in seconds.
+    """
+
+    __slots__ = ("behind_since", "in_force_s", "last_asked_at", "outdated_version")
+
+    def __init__(self, in_force_s):
+        self.in_force_s = in_force_s
         self.last_asked_at = None
+        # The own version that was found outdated, and when it was.
+        self.outdated_version = None
+        self.behind_since = None
 
     def should_ask(self, known_version, own_version, health, now):
         """Return whether to request another node's configuration now.
@@ -67,10 +80,14 @@
         now : float
             Time in seconds.
         """
-        if health.state == "available":
-            return False
         if own_version is not None and known_version <= own_version:
             return False
+        if self.behind_since is None or self.outdated_version != own_version:
+            self.outdated_version = own_version
+            self.behind_since = now
+        is_overdue = now - self.behind_since >= self.in_force_s
+        if health.state == "available" and not is_overdue:
+            return False
         if (
             self.last_asked_at is not None
             and now - self.last_asked_at < MIN_PEER_INTERVAL_S
