--- a/packages/cyclamentally/cyclamentally/tests/test_watching.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_watching.py
@@ -190,6 +190,16 @@
     assert watch.revision == at(5, 2)
 
 
+@pytest.mark.parametrize(("era", "may_be_stale"), [(0, True), (1, True), (2, False)])
+def test_node_that_starts_after_a_restore_reads_no_stale_changes(
+    sink, clock, era, may_be_stale
+):
+    watch = Watch("p/", sink, Random(1), clock, 2.0, may_be_stale=True)
+    clock.now = 100.0
+    effects = watch.fire("last_page", Page([], False, at(9, era)))
+    assert effects[0].may_be_stale == may_be_stale
+
+
 def test_changes_are_read_up_to_date_for_some_time_after_a_restore(sink, clock):
     """A stale read may be of before the restore."""
     watch = Watch("p/", sink, Random(1), clock, 2.0, may_be_stale=True)
@@ -247,6 +257,13 @@
         assert isinstance(registration.fire("retry")[0], RequestLease)
 
 
+def test_entry_of_an_earlier_lease_is_removed_by_a_host_that_leaves(registration):
+    become_listed(registration)
+    registration.fire("restored")
+    assert registration.state == "leasing"
+    assert [type(e) for e in registration.fire("leave")] == [RemoveEntry]
+
+
 def become_listed(registration):
     registration.fire("wanted", "entry 1")
     registration.fire("lease_granted", LeaseGranted(7, 8.0))
