--- a/packages/cyclamentally/cyclamentally/revisions.py
+++ b/packages/cyclamentally/cyclamentally/revisions.py
@@ -35,3 +35,5 @@
 
 
 NO_REVISION = Revision(0, 0)
+# Era of a store that has never been restored.
+FIRST_ERA = 1
--- a/packages/cyclamentally/cyclamentally/watching.py
+++ b/packages/cyclamentally/cyclamentally/watching.py
@@ -8,7 +8,7 @@
 from cyclamentally.feed_log import FeedUpdate
 from cyclamentally.limits import Backoff
 from cyclamentally.records import Record
-from cyclamentally.revisions import NO_REVISION
+from cyclamentally.revisions import FIRST_ERA, NO_REVISION
 from cyclamentally.store_outcomes import FIRST_RETRY_S, LONGEST_RETRY_S
 
 # Long-poll time of one call; the store allows 30 s.
@@ -168,6 +168,9 @@
 
     def deliver_listing(self, page):
         """Pass the complete listing to the sink."""
+        if self.revision == NO_REVISION and self.listing_revision.era > FIRST_ERA:
+            # The store may have been restored just before this node has started.
+            self.note_restore(page)
         self.revision = self.listing_revision
         items, self.items = self.items, []
         self._note_revisions(items)
