--- a/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
@@ -381,8 +381,8 @@
             source=source,
         )
         for watch in self.watches.values():
-            self._fire_watch(watch, "restored")
-        self.registration.restore()
+            self.loop.attempt(self._fire_watch, watch, "restored")
+        self.loop.attempt(self.registration.restore)
 
     def _tick(self):
         self.timer = self.loop.call_after(TICK_S, self._tick)
