--- a/packages/cyclamentally-calls/cyclamentally_calls/host_registration.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/host_registration.py
@@ -93,6 +93,11 @@
         if not is_written or change.value != encode_entry(written):
             self.fire("vanished")
 
+    def leave(self):
+        """Remove the entry unless it names a lifetime that has departed."""
+        entry = self.decisions.entry
+        self.fire("leave", entry is not None and entry.upstream.started_ms > 0)
+
     def restore(self):
         """Write the entry again after a restore of the store."""
         if self.call is not None:
--- a/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
@@ -178,7 +178,7 @@
             reply = PeerReply(message.exchange, self._encode_state())
             self.loop.post(message.sender, reply)
         elif isinstance(message, DrainConnections):
-            self.registration.fire("leave")
+            self.registration.leave()
 
     # Sinks of the watches.
 
--- a/packages/cyclamentally/cyclamentally/gate.py
+++ b/packages/cyclamentally/cyclamentally/gate.py
@@ -86,9 +86,10 @@
     def is_same_lifetime(self, heartbeat):
         """Whether a heartbeat belongs to the current lifetime."""
         present = self.heartbeat
+        if present is None or heartbeat.upstream != present.upstream:
+            return False
         # A liveness check does not tell when the upstream started.
-        same_start = present.started_ms in (0, heartbeat.started_ms)
-        return same_start and heartbeat.upstream == present.upstream
+        return present.started_ms in (0, heartbeat.started_ms)
 
     def is_newer(self, heartbeat):
         """Whether a heartbeat is later than the last one of the current lifetime."""
--- a/packages/cyclamentally/cyclamentally/publication.py
+++ b/packages/cyclamentally/cyclamentally/publication.py
@@ -30,15 +30,12 @@
         is_open = gate.state == "open" and not self.is_withdrawn
         if self.published is None and not is_open:
             return None
-        if gate.state == "stopped" and self.published.is_leaving:
-            # It may tell a later process of this node which lifetime has departed.
-            return None
         entry = UpstreamEntry(
             heartbeat.upstream,
             heartbeat.service,
             heartbeat.slots,
             not is_open,
-            heartbeat.started_ms if gate.state == "draining" else 0,
+            heartbeat.started_ms if heartbeat.is_leaving else 0,
         )
         if entry == self.published:
             return None
--- a/packages/cyclamentally/cyclamentally/registration.py
+++ b/packages/cyclamentally/cyclamentally/registration.py
@@ -124,6 +124,13 @@
         """Schedule a retry with backoff and jitter."""
         return [StartTimer("retry", FIRST_RETRY_S + self.backoff.next_delay())]
 
+    def keeps_entry(self, names_departure):
+        """Whether the entry is left to its lease.
+
+        It tells a later process of the node that the upstream has left.
+        """
+        return bool(names_departure)
+
     def remove(self, message):
         """Remove the entry."""
         return [RemoveEntry()]
