--- a/packages/cyclamentally-calls/cyclamentally_calls/control_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/control_task.py
@@ -3,12 +3,14 @@
 from abc import ABC, abstractmethod
 
 from cyclamentally.errors import Kind, Refused
+from cyclamentally.gate_messages import Heartbeat
 from cyclamentally.readiness import Readiness
 from cyclamentally.records import Record
 from cyclamentally.routes import CallerLimits
 from cyclamentally_calls.call_events import (
     HostsReplaced,
     RoutesReplaced,
+    ServiceChanged,
     ShutdownStarted,
     UpstreamReported,
 )
@@ -87,6 +89,8 @@
         Decoding of requests.
     gate : GateTask
         Receiver of `UpstreamReported`.
+    local_service : str
+        Service on this host by the settings.
     counters : Counters
         Metrics.
     log : DecisionLog
@@ -99,15 +103,20 @@
         "dialect",
         "gate",
         "listeners",
+        "local_service",
         "log",
         "loop",
         "readiness",
+        "services",
     )
 
-    def __init__(self, loop, addresses, dialect, gate, counters, log):
+    def __init__(self, loop, addresses, dialect, gate, local_service, counters, log):
         self.loop = loop
         self.dialect = dialect
         self.gate = gate
+        self.local_service = local_service
+        # Names of the services in the configuration; None until it is known.
+        self.services = None
         self.counters = counters
         self.log = log
         self.listeners = [
@@ -129,7 +138,11 @@
             connection.fire("ended")
 
     def receive(self, message):
-        """Update readiness from a message of another task."""
+        """Update readiness and services from a message of another task."""
+        if isinstance(message, RoutesReplaced):
+            self.services = message.table.services.keys()
+        elif isinstance(message, ServiceChanged):
+            self.local_service = message.service
         event = READINESS_EVENTS.get(type(message))
         if event is not None:
             self.readiness.fire(event)
@@ -175,7 +188,14 @@
         status = HTTP_OK if self.readiness.is_ready else HTTP_UNAVAILABLE
         return Response(status, [], b"")
 
+    def _is_named(self, service):
+        """Whether the configuration, if known, or the settings name a service."""
+        is_configured = self.services is None or service in self.services
+        return is_configured or service == self.local_service
+
     def _forward_report(self, report):
+        if isinstance(report, Heartbeat) and not self._is_named(report.service):
+            report = InvalidHeartbeat(f"no service {report.service!r:.40}")
         if isinstance(report, InvalidHeartbeat):
             self.counters.add("heartbeats_ignored_total", Kind.MESSAGE_MALFORMED)
             self.log.write("heartbeat_ignored", detail=report.detail)
--- a/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
@@ -161,6 +161,7 @@
             settings.control,
             dialects.control,
             self.gate,
+            settings.service,
             self.counters,
             self.log,
         )
--- a/packages/cyclamentally-calls/cyclamentally_calls/process_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/process_task.py
@@ -167,7 +167,8 @@
         elif outcome.value != self.service:
             self.service = outcome.value
             self.log.write("service_changed", service=self.service)
-            self._broadcast(self.request_tasks, ServiceChanged(self.service))
+            tasks = dict.fromkeys([*self.request_tasks, *self.subscribers])
+            self._broadcast(tasks, ServiceChanged(self.service))
 
 
 def _ignore(number, frame):
