--- a/packages/cyclamentally-calls/cyclamentally_calls/tests/test_waiting_senders.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/tests/test_waiting_senders.py
@@ -6,6 +6,7 @@
 from cyclamentally.feed_log import FeedUpdate
 from cyclamentally.feeds import Feed
 from cyclamentally.hosts import HostEntry, UpstreamEntry
+from cyclamentally.revisions import Revision
 from cyclamentally.store_outcomes import StoredItem
 from cyclamentally_calls import feed_task
 from cyclamentally_calls.call_events import (
@@ -31,7 +32,7 @@
 from cyclamentally_calls.loop import Loop, Task
 from cyclamentally_calls.outcomes import Answered
 
-ITEM = StoredItem("c/x", b"new", 11)
+ITEM = StoredItem("c/x", b"new", Revision(1, 11))
 
 
 class Recorder(Task):
@@ -60,7 +61,7 @@
     """A follower's request."""
 
     def __init__(self, *revisions):
-        target = encode_feed_target(revisions)
+        target = encode_feed_target([Revision(1, n) for n in revisions])
         self.request = Request(b"GET", target, [], b"", False, True)
 
 
@@ -99,7 +100,7 @@
         HostEntry(f"h{n}", "d1", "r1", "127.0.0.1:9", upstream) for n in range(1, 40)
     ]
     monkeypatch.setattr(ConnectionPool, "send", lambda *arguments: None)
-    feed.receive(ItemsChanged(FeedUpdate("c/", 10, True, [])))
+    feed.receive(ItemsChanged(FeedUpdate("c/", Revision(1, 10), True, [])))
     feed.receive(HostsReplaced({"shop": entries}))
     loop.run_once(0.0)
     assert feed.feed.state == "following"
@@ -132,7 +133,7 @@
 def test_held_requests_are_answered_if_the_answer_to_one_raises(
     loop, feed, sender, pump, monkeypatch
 ):
-    feed.receive(ItemsChanged(FeedUpdate("c/", 10, True, [])))
+    feed.receive(ItemsChanged(FeedUpdate("c/", Revision(1, 10), True, [])))
     feed.receive(SourceChanged(True))
     for revisions in ((10, 0), (10, 1)):
         feed.receive(FeedRequest(sender, Exchange(*revisions)))
@@ -146,7 +147,7 @@
         return encode(updates)
 
     monkeypatch.setattr(feed_task, "encode_updates", fail_once)
-    loop.post(feed, ItemsChanged(FeedUpdate("c/", 11, False, [ITEM])))
+    loop.post(feed, ItemsChanged(FeedUpdate("c/", Revision(1, 11), False, [ITEM])))
     pump.for_s(HOLD_S + 0.1)
     first, second = [decode_updates(message.body) for message in sender.messages]
     assert [update.revision for update in first] == [11]
@@ -165,7 +166,9 @@
 
 def test_relay_is_left_if_its_items_cannot_be_applied(loop, following, store):
     """They would be known here, and not in force, until the next change."""
-    loop.post(store, ItemsRelayed(following, FeedUpdate("c/", 11, False, [ITEM])))
+    loop.post(
+        store, ItemsRelayed(following, FeedUpdate("c/", Revision(1, 11), False, [ITEM]))
+    )
     loop.run_once(0.0)
     assert following.feed.state == "watching"
     assert [type(message) for message in store.messages] == [StoreLeft, StoreResumed]
