--- a/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/store_task.py
@@ -326,12 +326,7 @@
             event = "page" if outcome.has_more else "last_page"
         else:
             event = WATCH_EVENTS[type(outcome)]
-        try:
-            self._fire_watch(watch, event, outcome)
-        except Exception:
-            # The watch would have neither a call nor a timer.
-            self._fire_watch(watch, "failed")
-            raise
+        self._fire_watch(watch, event, outcome)
 
     def _fire_watch(self, watch, event, message=None):
         effects = watch.fire(event, message)
