--- a/packages/cyclamentally-calls/cyclamentally_calls/tests/test_waiting_senders.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/tests/test_waiting_senders.py
@@ -150,7 +150,7 @@
     loop.post(feed, ItemsChanged(FeedUpdate("c/", Revision(1, 11), False, [ITEM])))
     pump.for_s(HOLD_S + 0.1)
     first, second = [decode_updates(message.body) for message in sender.messages]
-    assert [update.revision for update in first] == [11]
+    assert [update.revision for update in first] == [Revision(1, 11)]
     assert second == []
 
 
