Name a lost request by its content in the log

The line now has the field request, a hash of method, host, target and body, equal for all attempts of a request. Tests: attempts share it, other requests do not. No decision reads it.

--- a/packages/cyclamentally-calls/cyclamentally_calls/upstream_client.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/upstream_client.py
@@ -5,6 +5,10 @@
 from cyclamentally.errors import Refused
 from cyclamentally_calls.calls import echo_of
 from cyclamentally_calls.client_connection import ConnectionPool
+from cyclamentally_calls.fingerprint import (
+    fingerprint_of_request,
+    format_fingerprint,
+)
 from cyclamentally_calls.outgoing_request import OutgoingRequest
 from cyclamentally_calls.upstream_codec import (
     classify_result,
@@ -108,6 +112,7 @@
             self.log.write(
                 "upstream_failure",
                 id=work.request_id,
+                request=format_fingerprint(fingerprint_of_request(work.request)),
                 upstream=work.ticket.upstream,
                 kind=outcome.kind,
                 detail=outcome.detail,
