Separate the order of requests, checks and crash marks from their users

Urgency holds the order and lateness of requests, gate_checks the refusals of a closed gate, SuspectTable the marks; Gate and Quarantine use them.

--- a/packages/cyclamentally/cyclamentally/gate.py
+++ b/packages/cyclamentally/cyclamentally/gate.py
@@ -8,6 +8,7 @@
 from cyclamentally.departures import LastDeparture
 from cyclamentally.effects import Count, StateChanged
 from cyclamentally.errors import Kind, Refused
+from cyclamentally.gate_checks import find_refusal
 from cyclamentally.gate_messages import (
     Heartbeat,
     Load,
@@ -15,9 +16,9 @@
     Running,
     StartWork,
 )
-from cyclamentally.service_times import ServiceTimes
 from cyclamentally.shedding import ShedShare
 from cyclamentally.uplink import Uplink
+from cyclamentally.urgency import Urgency
 
 # Limit of queued requests that will miss their target, as a share of the slots.
 # Within a priority they start after all others, so with a higher limit they would
@@ -46,10 +47,10 @@
         "heartbeat",
         "admitted_late",
         "running",
-        "service_times",
         "shed_share",
         "state",
         "uplink",
+        "urgency",
         "waiting",
     )
 
@@ -65,7 +66,7 @@
         # their target.
         self.admitted_late = set()
         self.running = {}
-        self.service_times = ServiceTimes()
+        self.urgency = Urgency()
         self.shed_share = ShedShare()
 
     # Guards and actions of the chart.
@@ -105,7 +106,7 @@
         effects = self.refuse_waiting(heartbeat)
         self.heartbeat = heartbeat
         self.running = {}
-        self.service_times = ServiceTimes()
+        self.urgency = Urgency()
         self.shed_share = ShedShare()
         return effects
 
@@ -203,7 +204,7 @@
 
         Returns effects, which may concern other queued requests too.
         """
-        refusal = self._check(ticket)
+        refusal = find_refusal(self, ticket)
         if refusal is not None:
             return [RefuseWork(ticket.number, refusal)]
         wait = self.expected_wait(ticket, now)
@@ -211,15 +212,15 @@
             detail = f"{ticket.service}: answer would miss its target on the full link"
             hint = self.uplink.delay(ticket.route)
             return [RefuseWork(ticket.number, Refused(Kind.LINK_FULL, detail, hint))]
-        if not self._meets_deadline(ticket, now + wait) or self._exceeds_late_limit(
-            ticket, now, wait
-        ):
+        if not self.urgency.meets_deadline(
+            ticket, now + wait
+        ) or self._exceeds_late_limit(ticket, now, wait):
             detail = (
                 f"expected wait {wait:.3f} s, {len(self.waiting)} requests queued, "
                 f"{ticket.expires - now:.3f} s to the deadline"
             )
             return [self._refuse(ticket, Kind.QUEUE_FULL, detail, self._wait_hint(now))]
-        if wait > 0 and self._is_late(ticket, now + wait):
+        if wait > 0 and self.urgency.is_late(ticket, now + wait):
             self.admitted_late.add(ticket.number)
         self.waiting.append(ticket)
         if ticket.crosses_link:
@@ -245,7 +246,7 @@
         if running is None:
             return self._start_waiting(now)
         if is_answered:
-            self.service_times.update(running.ticket.route, now - running.since)
+            self.urgency.service_times.update(running.ticket.route, now - running.since)
         if is_answered or is_shed:
             self.shed_share.note(is_shed)
         return self._start_waiting(now)
@@ -264,7 +265,7 @@
     def load(self, route):
         """Return the `Load`; the delay on the link is part of its expected time."""
         slots = self.heartbeat.slots if self.heartbeat else 1
-        usual = self.service_times.mean(route) + self.uplink.delay(route)
+        usual = self.urgency.service_times.mean(route) + self.uplink.delay(route)
         share = self.shed_share.share
         return Load(len(self.running), len(self.waiting), slots, usual, share)
 
@@ -273,57 +274,18 @@
         free = self.heartbeat.slots - len(self.running) - len(self.waiting)
         if free > 0:
             return 0.0
-        work = sum(self._remaining_time(r, now) for r in self.running.values())
-        own = self._queue_key(ticket, now)
+        work = sum(self.urgency.remaining_time(r, now) for r in self.running.values())
+        own = self.urgency.key(ticket, now)
         for other in self.waiting:
-            if self._queue_key(other, now) <= own:
-                work += self.service_times.mean(other.route)
+            if self.urgency.key(other, now) <= own:
+                work += self.urgency.service_times.mean(other.route)
         return work / self.heartbeat.slots
 
-    def _check(self, ticket):
-        present = self.heartbeat
-        if self.state == "stopped":
-            return Refused(Kind.STOPPING, "node is stopping")
-        if not self.has_routes:
-            # The upstream's own calls for the request could not be routed.
-            return Refused(Kind.NOT_READY, "node has not read a configuration yet")
-        if present is None or self.state == "unknown":
-            has_left = self.departure.upstream is not None
-            kind = Kind.UPSTREAM_LEFT if has_left else Kind.NOT_READY
-            return Refused(kind, "no upstream is known on this host")
-        if ticket.upstream != present.upstream or ticket.service != present.service:
-            return Refused(Kind.UPSTREAM_LEFT, f"host runs {present.upstream} now")
-        if self.state == "draining":
-            return Refused(Kind.UPSTREAM_LEFT, "upstream is draining")
-        if self.state == "unreachable_upstream":
-            return Refused(
-                Kind.UPSTREAM_UNREACHABLE, "upstream is silent or unreachable"
-            )
-        return None
-
-    def _remaining_time(self, running, now):
-        usual = self.service_times.mean(running.ticket.route)
-        # A request that exceeds the mean is assumed to need half the mean longer.
-        return max(usual - (now - running.since), usual / 2)
-
-    def _queue_key(self, ticket, now):
-        """Return the sort key of queued requests.
-
-        Within a priority, requests that can still meet their target go first:
-        under overload, first-in first-out order would make all of them late.
-        """
-        is_late = self._is_late(ticket, now)
-        return (ticket.priority, is_late, ticket.expires if is_late else ticket.target)
-
-    def _is_late(self, ticket, start):
-        needed = self.service_times.needed(ticket.route)
-        return start + needed > ticket.target
-
     def _exceeds_late_limit(self, ticket, now, wait):
         """Whether a request would miss its target and too many such are queued."""
-        if wait == 0 or not self._is_late(ticket, now + wait):
+        if wait == 0 or not self.urgency.is_late(ticket, now + wait):
             return False
-        late = {t.number for t in self.waiting if self._is_late(t, now)}
+        late = {t.number for t in self.waiting if self.urgency.is_late(t, now)}
         self.admitted_late.intersection_update(t.number for t in self.waiting)
         return len(late | self.admitted_late) >= self._max_late()
 
@@ -332,22 +294,18 @@
         return max(1, int(MAX_LATE_SHARE_OF_SLOTS * self.heartbeat.slots))
 
     def _is_link_full(self, ticket, start):
-        needed = self.service_times.needed(ticket.route)
+        needed = self.urgency.service_times.needed(ticket.route)
         return self.uplink.would_miss_target(
             ticket.route, ticket.target - start - needed
         )
 
-    def _meets_deadline(self, ticket, start):
-        needed = self.service_times.needed(ticket.route)
-        return start + needed <= ticket.expires
-
     def _wait_hint(self, now):
         """Return the wait to name in a refusal, in seconds.
 
         By then all running and queued requests are expected to be finished.
         """
-        work = sum(self._remaining_time(r, now) for r in self.running.values())
-        work += sum(self.service_times.mean(t.route) for t in self.waiting)
+        work = sum(self.urgency.remaining_time(r, now) for r in self.running.values())
+        work += sum(self.urgency.service_times.mean(t.route) for t in self.waiting)
         return max(MIN_RETRY_WAIT_S, work / self.heartbeat.slots)
 
     def _start_waiting(self, now):
@@ -355,9 +313,9 @@
             return []
         effects = []
         while self.waiting and len(self.running) < self.heartbeat.slots:
-            ticket = min(self.waiting, key=lambda t: self._queue_key(t, now))
+            ticket = min(self.waiting, key=lambda t: self.urgency.key(t, now))
             self.waiting.remove(ticket)
-            if self._meets_deadline(ticket, now):
+            if self.urgency.meets_deadline(ticket, now):
                 self.running[ticket.number] = Running(ticket, now)
                 effects.append(StartWork(ticket.number, self.heartbeat))
             else:
@@ -368,9 +326,11 @@
 
     def _expire_waiting(self, now):
         """Refuse requests that would miss their deadline, and excess late ones."""
-        out = [t for t in self.waiting if not self._meets_deadline(t, now)]
-        late = [t for t in self.waiting if self._is_late(t, now) and t not in out]
-        late.sort(key=lambda t: self._queue_key(t, now))
+        out = [t for t in self.waiting if not self.urgency.meets_deadline(t, now)]
+        late = [
+            t for t in self.waiting if self.urgency.is_late(t, now) and t not in out
+        ]
+        late.sort(key=lambda t: self.urgency.key(t, now))
         out += late[self._max_late() :]
         if not out:
             return []
--- a/packages/cyclamentally/cyclamentally/tests/test_chart.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_chart.py
@@ -14,13 +14,13 @@
 from cyclamentally.idempotency import Claim
 from cyclamentally.lifecycle import NodeLifecycle
 from cyclamentally.members import Member
-from cyclamentally.quarantine import SuspectRequest
 from cyclamentally.readiness import Readiness
 from cyclamentally.registration import Registration
 from cyclamentally.relays import Relay
 from cyclamentally.retries import RequestAttempts
 from cyclamentally.shutdown import Shutdown
 from cyclamentally.store_health import StoreHealth
+from cyclamentally.suspects import SuspectRequest
 from cyclamentally.versions import TrackedProfile
 from cyclamentally.watching import Watch
 
--- a/packages/cyclamentally/cyclamentally/tests/test_gate.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_gate.py
@@ -207,8 +207,8 @@
 def test_service_times_are_learnt_by_route(gate):
     gate.admit(ticket(1), 0.0)
     gate.finish(1, True, 0.4)
-    assert gate.service_times.mean("route") == pytest.approx(0.4)
-    assert gate.service_times.mean("other") == DEFAULT_SERVICE_TIME_S
+    assert gate.urgency.service_times.mean("route") == pytest.approx(0.4)
+    assert gate.urgency.service_times.mean("other") == DEFAULT_SERVICE_TIME_S
 
 
 def test_requests_that_can_meet_their_target_start_before_late_ones(gate):
--- a/packages/cyclamentally/cyclamentally/tests/test_uplink.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_uplink.py
@@ -26,8 +26,8 @@
     gate = Gate(uplink)
     gate.on_routes_known()
     gate.on_heartbeat(Heartbeat("u1", "shop", "10.0.0.1:80", 1, 1, 5, False), 0.0)
-    gate.service_times.means["bundle"] = SERVICE_TIME_S
-    gate.service_times.means["lookup"] = 0.05
+    gate.urgency.service_times.means["bundle"] = SERVICE_TIME_S
+    gate.urgency.service_times.means["lookup"] = 0.05
     return gate
 
 
