--- a/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
@@ -8,9 +8,7 @@
 from cyclamentally.gate_messages import (
     RefuseWork,
     StartWork,
-    UpstreamEnded,
 )
-from cyclamentally.publication import Publication
 from cyclamentally.shutdown import LateRequests, node_stopping, not_finished
 from cyclamentally_calls.accepted_connections import AcceptedConnections
 from cyclamentally_calls.call_events import (
@@ -32,19 +30,19 @@
     RoutesReplaced,
     ServiceChanged,
     ShutdownStarted,
-    UpstreamChanged,
     UpstreamReported,
 )
 from cyclamentally_calls.caller_codec import find_rule
 from cyclamentally_calls.calls import request_id_of
 from cyclamentally_calls.exchange import RequestHandler
 from cyclamentally_calls.feed_codec import FEED_TARGET
-from cyclamentally_calls.loop import Task, wall_time_ms
+from cyclamentally_calls.loop import Task
 from cyclamentally_calls.pacer import Pacer
 from cyclamentally_calls.peer_codec import PEER_LIMITS, find_ticket, refuse_offer
 from cyclamentally_calls.peer_state import STATE_TARGET, state_response
 from cyclamentally_calls.requesters import LocalRequester, PeerRequester
 from cyclamentally_calls.upstream_client import UpstreamClient
+from cyclamentally_calls.upstream_monitor import UpstreamMonitor
 from cyclamentally_calls.work import Work, WorkTable, make_gate_ticket
 
 # Interval between checks of the queue and the heartbeat. It is shorter while
@@ -87,12 +85,12 @@
         "late_requests",
         "log",
         "loop",
+        "monitor",
         "names",
         "local_upstream",
         "number",
         "outbound",
         "pacer",
-        "publication",
         "store",
         "table",
         "timer",
@@ -110,13 +108,13 @@
         self.counters = counters
         self.log = log
         self.client = UpstreamClient(loop, local_upstream, names, counters, log)
+        self.monitor = UpstreamMonitor(gate, self.client, store, self._carry_out)
         self.pacer = Pacer(loop, gate.uplink)
         self.connections = AcceptedConnections(
             loop, address, self, PEER_LIMITS, counters, log, self.pacer
         )
         self.works = WorkTable()
         self.number = 0
-        self.publication = Publication()
         self.late_requests = LateRequests()
         self.table = None
         self.feed = None
@@ -145,7 +143,7 @@
         elif isinstance(message, CallNotRetried):
             self.works.note_call_not_retried(message.call_id)
         elif isinstance(message, UpstreamReported):
-            self._handle_report(message.report)
+            self.monitor.handle_report(message.report)
         elif isinstance(message, OwnEntryFound):
             self._carry_out(self.gate.on_own_entry(message.upstream, self.loop.clock()))
         elif isinstance(message, RoutesReplaced):
@@ -165,8 +163,7 @@
             # Other gates can run the requests that would not end in time.
             self.late_requests.start_shutdown(self.loop.clock(), message.finish_by)
         elif isinstance(message, EntryWithdrawn):
-            self.publication.withdraw()
-            self._publish()
+            self.monitor.withdraw()
             self.connections.fire("retire")
         elif isinstance(message, RetireConnections):
             self._carry_out(self.gate.stop())
@@ -242,32 +239,7 @@
         self.gate.uplink.downloads = table.downloads
         if not self.gate.has_routes:
             self.gate.on_routes_known()
-            rule = table.services.get(self.local_upstream.service)
-            if rule is not None:
-                self.client.check_liveness(rule.health_path, self._handle_liveness)
-
-    def _handle_liveness(self, heartbeat):
-        self._carry_out(self.gate.on_liveness_check(heartbeat, self.loop.clock()))
-        self._publish()
-
-    def _handle_report(self, report):
-        before = self.gate.heartbeat
-        now = self.loop.clock()
-        if isinstance(report, UpstreamEnded):
-            wall_ms = wall_time_ms()
-            self._carry_out(self.gate.on_upstream_ended(report.upstream, wall_ms, now))
-        else:
-            self._carry_out(self.gate.on_heartbeat(report, now))
-        known = self.gate.heartbeat
-        if before is not None and before.upstream != known.upstream:
-            self.client.pool.close_idle(before.address)
-        self._publish()
-
-    def _publish(self):
-        """Publish the entry of the upstream if it has changed."""
-        entry = self.publication.update(self.gate)
-        if entry is not None:
-            self.loop.post(self.store, UpstreamChanged(entry))
+            self.monitor.learn_upstream(table)
 
     def _carry_out(self, effects):
         for effect in effects:
@@ -340,7 +312,7 @@
         outcome = self.client.take_result(work, result)
         kind = getattr(outcome, "kind", None)
         if kind in (Kind.UPSTREAM_UNREACHABLE, Kind.UPSTREAM_LEFT):
-            self._mark_unreachable("unreachable")
+            self.monitor.mark_lost("unreachable")
         is_answered = isinstance(outcome, Done)
         if is_answered:
             size = len(outcome.value.body)
@@ -352,10 +324,6 @@
         self._resolve(work, outcome)
         self._carry_out(effects)
 
-    def _mark_unreachable(self, event):
-        self._carry_out(self.gate.on_upstream_lost(event))
-        self._publish()
-
     def _end_works(self):
         """End the requests that are unanswered or unread at the end of a shutdown."""
         for work in list(self.works.by_number.values()):
@@ -393,8 +361,6 @@
             self._free_slot(number)
 
     def _check_gate(self):
-        now = self.loop.clock()
         if self.gate.state == "open":
-            if self.local_upstream.is_silent_after(now - self.gate.last_heartbeat_at):
-                self._mark_unreachable("silent")
-            self._carry_out(self.gate.tick(now))
+            self.monitor.check_silence()
+            self._carry_out(self.gate.tick(self.loop.clock()))
