Refuse a request under which three upstreams have ended, at all gates

Cause: losses of upstreams were counted within one attempt of a caller. The next attempt, on another node, knew nothing of them. Class: knowledge of a fault that is kept where it arose, while the fault travels with the request.

Now the gate beside an upstream that ends marks the requests that were lost with it. Those that upstreams have answered within 30 s are left out, so that popular requests are not blamed. Marks go to the gates of the service by direct messages, again until acknowledged; all requests for an upstream pass its gate, so no other node needs them, and a node that starts asks three others. Marked requests run one at a time at each upstream, and an answer clears them, so innocent requests that came back with the cause do not share its marks. A request is refused (503, request_suspended) when three upstreams have ended under it, one of them while it ran as the only marked one.

Evidence: six nodes with upstreams that end at one path, which comes four times a second for 12 s: 37 ends before, 4 after; the three marks reached all nodes within 5 ms. Upstreams that end together without a common request, three of six, three times: nothing is refused.

--- a/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
@@ -36,11 +36,14 @@
 from cyclamentally_calls.calls import request_id_of
 from cyclamentally_calls.exchange import RequestHandler
 from cyclamentally_calls.feed_codec import FEED_TARGET
+from cyclamentally_calls.fingerprint import fingerprint_of_request
 from cyclamentally_calls.loop import Task
+from cyclamentally_calls.marks_codec import MARKS_TARGET
 from cyclamentally_calls.pacer import Pacer
 from cyclamentally_calls.peer_codec import PEER_LIMITS, find_ticket, refuse_offer
 from cyclamentally_calls.peer_state import STATE_TARGET, state_response
 from cyclamentally_calls.requesters import LocalRequester, PeerRequester
+from cyclamentally_calls.suspect_events import MarksRequest, SuspectsReplaced
 from cyclamentally_calls.upstream_client import UpstreamClient
 from cyclamentally_calls.upstream_monitor import UpstreamMonitor
 from cyclamentally_calls.work import Work, WorkTable, make_gate_ticket
@@ -148,6 +151,8 @@
             self._carry_out(self.gate.on_own_entry(message.upstream, self.loop.clock()))
         elif isinstance(message, RoutesReplaced):
             self._apply_routes(message.table)
+        elif isinstance(message, SuspectsReplaced):
+            self._carry_out(self.gate.on_suspects(message.suspects, self.loop.clock()))
         elif isinstance(message, PeerReply):
             message.exchange.respond(state_response(message.body))
         elif isinstance(message, ServiceChanged):
@@ -179,6 +184,9 @@
         if exchange.request.target == STATE_TARGET:
             self.loop.post(self.store, PeerStateRequest(self, exchange))
             return
+        if exchange.request.target == MARKS_TARGET:
+            self.loop.post(self.monitor.suspects, MarksRequest(self, exchange))
+            return
         if exchange.request.target.startswith(FEED_TARGET):
             self.loop.post(self.feed, FeedRequest(self, exchange))
             return
@@ -222,7 +230,10 @@
             return
         self.number += 1
         crosses_link = isinstance(requester, PeerRequester)
-        ticket = make_gate_ticket(self.number, peer_ticket, now, crosses_link)
+        fingerprint = fingerprint_of_request(request)
+        ticket = make_gate_ticket(
+            self.number, peer_ticket, now, crosses_link, fingerprint
+        )
         request_id = request_id_of(request, self.names)
         work = Work(requester, request, request_id, ticket, peer_ticket.is_repeat)
         self.works.add(work)
@@ -314,6 +325,7 @@
         if kind in (Kind.UPSTREAM_UNREACHABLE, Kind.UPSTREAM_LEFT):
             self.monitor.mark_lost("unreachable")
         is_answered = isinstance(outcome, Done)
+        self.monitor.note_result(work.ticket, kind, is_answered)
         if is_answered:
             size = len(outcome.value.body)
             self.gate.uplink.update_size(work.ticket.route, size)
--- a/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/mesh_node.py
@@ -16,6 +16,7 @@
 from cyclamentally_calls.outbound_task import OutboundTask
 from cyclamentally_calls.process_task import ProcessTask
 from cyclamentally_calls.store_task import StoreTask
+from cyclamentally_calls.suspect_task import SuspectTask
 from cyclamentally_calls.work import LocalUpstream
 
 
@@ -145,6 +146,7 @@
         "process",
         "settings",
         "store",
+        "suspects",
     )
 
     def __init__(self, settings, dialects, random, read_service):
@@ -156,6 +158,7 @@
         self.gate = self._make_gate(dialects)
         self.outbound = self._make_outbound(dialects, random)
         self.feed = self._make_feed()
+        self.suspects = self._make_suspects()
         self.control = ControlTask(
             self.loop,
             settings.control,
@@ -169,9 +172,21 @@
         self.process = ProcessTask(
             self.loop, shutdown, read_service, settings.service, self.log
         )
-        self.store.subscribers = [self.outbound, self.gate, self.control, self.feed]
+        self.store.subscribers = [
+            self.outbound,
+            self.gate,
+            self.control,
+            self.feed,
+            self.suspects,
+        ]
         self.process.request_tasks = [self.outbound, self.gate]
-        self.process.subscribers = [self.control, self.gate, self.outbound, self.feed]
+        self.process.subscribers = [
+            self.control,
+            self.gate,
+            self.outbound,
+            self.feed,
+            self.suspects,
+        ]
         self.process.closing_tasks = [self.outbound, self.gate, self.store]
 
     @property
@@ -180,6 +195,7 @@
         return (
             self.store,
             self.feed,
+            self.suspects,
             self.gate,
             self.outbound,
             self.control,
@@ -247,6 +263,19 @@
         self.gate.feed = feed
         return feed
 
+    def _make_suspects(self):
+        settings = self.settings
+        suspects = SuspectTask(
+            self.loop,
+            settings.place,
+            settings.service,
+            self.gate,
+            self.counters,
+            self.log,
+        )
+        self.gate.monitor.suspects = suspects
+        return suspects
+
     def _make_gate(self, dialects):
         settings = self.settings
         return GateTask(
--- a/packages/cyclamentally-calls/cyclamentally_calls/upstream_client.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/upstream_client.py
@@ -5,10 +5,8 @@
 from cyclamentally.errors import Refused
 from cyclamentally_calls.calls import echo_of
 from cyclamentally_calls.client_connection import ConnectionPool
-from cyclamentally_calls.fingerprint import (
-    fingerprint_of_request,
-    format_fingerprint,
-)
+from cyclamentally_calls.fingerprint import format_fingerprint
+from cyclamentally_calls.outcomes import NotSent
 from cyclamentally_calls.outgoing_request import OutgoingRequest
 from cyclamentally_calls.upstream_codec import (
     classify_result,
@@ -97,12 +95,20 @@
         on_heartbeat : callable
             Takes the `Heartbeat` of a live upstream.
         """
-        data = encode_liveness(self.local_upstream.address, path)
-        handle = partial(self._handle_liveness_result, on_heartbeat)
-        outgoing = OutgoingRequest(data, None, handle)
-        self.counters.add("probes_total")
-        deadline = self.loop.clock() + LIVENESS_TIMEOUT_S
-        self.pool.send(self.local_upstream.address, outgoing, deadline)
+        self._send_check(path, partial(self._handle_liveness_result, on_heartbeat))
+
+    def check_reachable(self, path, on_unreachable):
+        """Send one liveness check to find out whether the upstream takes connections.
+
+        Parameters
+        ----------
+        path : str
+            Path of the check.
+        on_unreachable : callable
+            Called if it takes none.
+        """
+        handle = partial(self._handle_reachability, on_unreachable)
+        self._send_check(path, handle)
 
     def take_result(self, work, result):
         """Return the outcome of a request, ``Done`` or ``Refused``."""
@@ -112,13 +118,24 @@
             self.log.write(
                 "upstream_failure",
                 id=work.request_id,
-                request=format_fingerprint(fingerprint_of_request(work.request)),
+                request=format_fingerprint(work.ticket.fingerprint),
                 upstream=work.ticket.upstream,
                 kind=outcome.kind,
                 detail=outcome.detail,
             )
         return outcome
 
+    def _send_check(self, path, handle):
+        data = encode_liveness(self.local_upstream.address, path)
+        outgoing = OutgoingRequest(data, None, handle)
+        self.counters.add("probes_total")
+        deadline = self.loop.clock() + LIVENESS_TIMEOUT_S
+        self.pool.send(self.local_upstream.address, outgoing, deadline)
+
+    def _handle_reachability(self, on_unreachable, result):
+        if isinstance(result, NotSent):
+            on_unreachable()
+
     def _handle_liveness_result(self, on_heartbeat, result):
         response = getattr(result, "response", None)
         heartbeat = decode_liveness(response, self.local_upstream, self.names)
--- a/packages/cyclamentally-calls/cyclamentally_calls/upstream_monitor.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/upstream_monitor.py
@@ -1,9 +1,18 @@
 """What a node learns of the upstream on its host, and what it publishes of it."""
 
+from functools import partial
+
+from cyclamentally.crash_evidence import CrashEvidence
+from cyclamentally.errors import Kind
 from cyclamentally.gate_messages import UpstreamEnded
 from cyclamentally.publication import Publication
 from cyclamentally_calls.call_events import UpstreamChanged
 from cyclamentally_calls.loop import wall_time_ms
+from cyclamentally_calls.suspect_events import SuspectAnswered, UpstreamCrashed
+
+# After a loss, the other connections of an upstream that has ended fail within this
+# time.
+COLLECT_S = 0.02
 
 
 class UpstreamMonitor:
@@ -21,7 +30,18 @@
         Carries out the effects of the gate.
     """
 
-    __slots__ = ("carry_out", "client", "gate", "loop", "publication", "store")
+    __slots__ = (
+        "carry_out",
+        "client",
+        "evidence",
+        "gate",
+        "health_path",
+        "loop",
+        "loss_timer",
+        "publication",
+        "store",
+        "suspects",
+    )
 
     def __init__(self, gate, client, store, carry_out):
         self.gate = gate
@@ -30,6 +50,12 @@
         self.store = store
         self.carry_out = carry_out
         self.publication = Publication()
+        self.evidence = CrashEvidence()
+        self.health_path = None
+        # Examines recent losses.
+        self.loss_timer = None
+        # The `SuspectTask`.
+        self.suspects = None
 
     def learn_upstream(self, table):
         """Check the liveness of the upstream, to know it before its heartbeat.
@@ -41,6 +67,7 @@
         """
         rule = table.services.get(self.client.local_upstream.service)
         if rule is not None:
+            self.health_path = rule.health_path
             self.client.check_liveness(rule.health_path, self._handle_liveness)
 
     def handle_report(self, report):
@@ -55,6 +82,8 @@
         known = self.gate.heartbeat
         if before is not None and before.upstream != known.upstream:
             self.client.pool.close_idle(before.address)
+        if before is not None and _are_lifetimes_apart(before, known):
+            self._report_crash()
         self._publish()
 
     def mark_lost(self, event):
@@ -62,6 +91,29 @@
         self.carry_out(self.gate.on_upstream_lost(event))
         self._publish()
 
+    def note_result(self, ticket, failure, is_answered):
+        """Note how the run of a request has ended.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            The request.
+        failure : Kind or None
+            Kind of its failure.
+        is_answered : bool
+            Whether the upstream has answered it.
+        """
+        now = self.loop.clock()
+        if is_answered:
+            self.evidence.note_answer(ticket.fingerprint, now)
+            if ticket.fingerprint in self.gate.isolation.suspects.marked:
+                self.loop.post(self.suspects, SuspectAnswered(ticket.fingerprint))
+        elif failure == Kind.UPSTREAM_FAILED:
+            self.evidence.note_loss(ticket.fingerprint, now)
+            if self.loss_timer is None:
+                examine = partial(self._examine_losses, now)
+                self.loss_timer = self.loop.call_after(COLLECT_S, examine)
+
     def check_silence(self):
         """Close the gate of an upstream that has sent no heartbeat for too long."""
         silence_s = self.loop.clock() - self.gate.last_heartbeat_at
@@ -73,6 +125,29 @@
         self.publication.withdraw()
         self._publish()
 
+    def _examine_losses(self, lost_at):
+        """Find out whether the upstream has ended when requests were lost."""
+        self.loss_timer = None
+        if self.gate.state == "unreachable_upstream":
+            self._report_crash()
+            return
+        is_alive = any(r.since < lost_at for r in self.gate.running.values())
+        if self.gate.state == "open" and not is_alive and self.health_path:
+            self.client.check_reachable(self.health_path, self._handle_unreachable)
+
+    def _handle_unreachable(self):
+        if self.gate.state == "open":
+            self.mark_lost("unreachable")
+            self._report_crash()
+
+    def _report_crash(self):
+        """Report the requests that were lost as the upstream ended."""
+        crash = f"{self.gate.heartbeat.upstream} {wall_time_ms()}"
+        marked = self.gate.isolation.suspects.marked
+        marks = self.evidence.take_marks(crash, marked, self.loop.clock())
+        if marks:
+            self.loop.post(self.suspects, UpstreamCrashed(marks))
+
     def _handle_liveness(self, heartbeat):
         self.carry_out(self.gate.on_liveness_check(heartbeat, self.loop.clock()))
         self._publish()
@@ -82,3 +157,9 @@
         entry = self.publication.update(self.gate)
         if entry is not None:
             self.loop.post(self.store, UpstreamChanged(entry))
+
+
+def _are_lifetimes_apart(before, later):
+    """Whether two heartbeats are of two lifetimes whose starts are known."""
+    starts = {before.started_ms, later.started_ms}
+    return 0 not in starts and len(starts) > 1
--- a/packages/cyclamentally-calls/cyclamentally_calls/work.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/work.py
@@ -39,7 +39,7 @@
         return silence_s > MAX_MISSED_HEARTBEATS * self.heartbeat_s
 
 
-def make_gate_ticket(number, ticket, now, crosses_link):
+def make_gate_ticket(number, ticket, now, crosses_link, fingerprint):
     """Return the gate's `Ticket` for a request with a `PeerTicket`.
 
     Parameters
@@ -52,6 +52,8 @@
         Time of arrival, in seconds.
     crosses_link : bool
         Whether the answer goes to another host.
+    fingerprint : int
+        Hash that all attempts of the request share.
     """
     return Ticket(
         number,
@@ -62,6 +64,7 @@
         now + ticket.target_s,
         now + ticket.left_s,
         crosses_link,
+        fingerprint,
     )
 
 
--- a/packages/cyclamentally/cyclamentally/errors.py
+++ b/packages/cyclamentally/cyclamentally/errors.py
@@ -33,6 +33,7 @@
     HEADERS_TOO_LARGE = "headers_too_large"
     REQUEST_TIMEOUT = "request_timeout"
     REQUEST_QUARANTINED = "request_quarantined"
+    REQUEST_SUSPENDED = "request_suspended"
     KEY_IN_PROGRESS = "key_in_progress"
     KEY_REUSED = "key_reused"
     OUTCOME_UNKNOWN = "outcome_unknown"
@@ -106,6 +107,7 @@
     Kind.HEADERS_TOO_LARGE: Answer(431, Ran.NO, None, EXIT_INPUT),
     Kind.REQUEST_TIMEOUT: Answer(408, Ran.NO, None, EXIT_UNAVAILABLE),
     Kind.REQUEST_QUARANTINED: Answer(422, Ran.NO, None, EXIT_INPUT),
+    Kind.REQUEST_SUSPENDED: Answer(503, Ran.NO, 600, EXIT_UNAVAILABLE),
     Kind.KEY_IN_PROGRESS: Answer(409, Ran.UNKNOWN, 1, EXIT_CONFLICT),
     Kind.KEY_REUSED: Answer(422, Ran.NO, None, EXIT_INPUT),
     Kind.OUTCOME_UNKNOWN: Answer(409, Ran.UNKNOWN, None, EXIT_UNKNOWN),
--- a/packages/cyclamentally/cyclamentally/forwarding.py
+++ b/packages/cyclamentally/cyclamentally/forwarding.py
@@ -141,6 +141,8 @@
         """Whether a request that has not run may be offered elsewhere."""
         if self.offers >= MAX_OFFERS or self._is_late(result.now):
             return False
+        if result.refusal.kind == Kind.REQUEST_SUSPENDED:
+            return False
         if result.refusal.kind not in REFUSED_BY_UPSTREAM:
             return True
         has_attempts = self.attempts + 1 < self.rule.max_attempts
--- a/packages/cyclamentally/cyclamentally/gate.py
+++ b/packages/cyclamentally/cyclamentally/gate.py
@@ -8,7 +8,7 @@
 from cyclamentally.departures import LastDeparture
 from cyclamentally.effects import Count, StateChanged
 from cyclamentally.errors import Kind, Refused
-from cyclamentally.gate_checks import find_refusal
+from cyclamentally.gate_checks import find_refusal, suspended
 from cyclamentally.gate_messages import (
     Heartbeat,
     Load,
@@ -16,6 +16,7 @@
     Running,
     StartWork,
 )
+from cyclamentally.isolation import Isolation
 from cyclamentally.shedding import ShedShare
 from cyclamentally.uplink import Uplink
 from cyclamentally.urgency import Urgency
@@ -45,6 +46,7 @@
         "has_routes",
         "last_heartbeat_at",
         "heartbeat",
+        "isolation",
         "admitted_late",
         "running",
         "shed_share",
@@ -68,6 +70,7 @@
         self.running = {}
         self.urgency = Urgency()
         self.shed_share = ShedShare()
+        self.isolation = Isolation()
 
     # Guards and actions of the chart.
 
@@ -191,6 +194,16 @@
         """Note that the routes are known; until then all requests are refused."""
         self.has_routes = True
 
+    def on_suspects(self, suspects, now):
+        """Apply the `Suspects` known at present; returns effects."""
+        self.isolation.suspects = suspects
+        out = [t for t in self.waiting if t.fingerprint in suspects.quarantined]
+        self.waiting = [t for t in self.waiting if t not in out]
+        for ticket in out:
+            self.uplink.release(ticket.number)
+        refusals = [RefuseWork(t.number, suspended(t)) for t in out]
+        return refusals + self._start_waiting(now)
+
     def stop(self):
         """Refuse queued and new requests because the node is stopping."""
         return self._fire("stop", None)
@@ -271,6 +284,13 @@
 
     def expected_wait(self, ticket, now):
         """Return the expected time until a request would start, in seconds."""
+        wait = self._wait_for_slot(ticket, now)
+        if self.isolation.is_suspect(ticket):
+            ahead = self.isolation.find_ahead(self.waiting, self.running)
+            wait = max(wait, self.urgency.total_time(*ahead, now))
+        return wait
+
+    def _wait_for_slot(self, ticket, now):
         free = self.heartbeat.slots - len(self.running) - len(self.waiting)
         if free > 0:
             return 0.0
@@ -304,16 +324,18 @@
 
         By then all running and queued requests are expected to be finished.
         """
-        work = sum(self.urgency.remaining_time(r, now) for r in self.running.values())
-        work += sum(self.urgency.service_times.mean(t.route) for t in self.waiting)
+        work = self.urgency.total_time(self.waiting, self.running.values(), now)
         return max(MIN_RETRY_WAIT_S, work / self.heartbeat.slots)
 
     def _start_waiting(self, now):
         if self.state != "open":
             return []
         effects = []
-        while self.waiting and len(self.running) < self.heartbeat.slots:
-            ticket = min(self.waiting, key=lambda t: self.urgency.key(t, now))
+        while len(self.running) < self.heartbeat.slots:
+            startable = self.isolation.startable(self.waiting, self.running)
+            if not startable:
+                break
+            ticket = min(startable, key=lambda t: self.urgency.key(t, now))
             self.waiting.remove(ticket)
             if self.urgency.meets_deadline(ticket, now):
                 self.running[ticket.number] = Running(ticket, now)
--- a/packages/cyclamentally/cyclamentally/gate_checks.py
+++ b/packages/cyclamentally/cyclamentally/gate_checks.py
@@ -1,6 +1,7 @@
 """Checks of a request that arrives at a gate."""
 
 from cyclamentally.errors import Kind, Refused
+from cyclamentally.quarantine import MARK_LIFETIME_S
 
 
 def find_refusal(gate, ticket):
@@ -27,6 +28,14 @@
         return Refused(Kind.UPSTREAM_LEFT, f"host runs {present.upstream} now")
     if gate.state == "draining":
         return Refused(Kind.UPSTREAM_LEFT, "upstream is draining")
+    if ticket.fingerprint in gate.isolation.suspects.quarantined:
+        return suspended(ticket)
     if gate.state == "unreachable_upstream":
         return Refused(Kind.UPSTREAM_UNREACHABLE, "upstream is silent or unreachable")
     return None
+
+
+def suspended(ticket):
+    """Return the refusal of a request under which upstreams have ended."""
+    detail = f"{ticket.service}: upstreams have ended while they ran this request"
+    return Refused(Kind.REQUEST_SUSPENDED, detail, MARK_LIFETIME_S)
--- a/packages/cyclamentally/cyclamentally/gate_messages.py
+++ b/packages/cyclamentally/cyclamentally/gate_messages.py
@@ -91,6 +91,8 @@
         Time in seconds after which the answer is of no use.
     crosses_link : bool
         Whether the answer goes to another host.
+    fingerprint : int or None
+        Hash that all attempts of the request share; None if unknown.
     """
 
     __slots__ = (
@@ -102,6 +104,7 @@
         "target",
         "expires",
         "crosses_link",
+        "fingerprint",
     )
 
     def __init__(
@@ -114,6 +117,7 @@
         target,
         expires,
         crosses_link=False,
+        fingerprint=None,
     ):
         self.number = number
         self.upstream = upstream
@@ -123,6 +127,7 @@
         self.target = target
         self.expires = expires
         self.crosses_link = crosses_link
+        self.fingerprint = fingerprint
 
 
 class StartWork(Record):
--- a/packages/cyclamentally/cyclamentally/suspects.py
+++ b/packages/cyclamentally/cyclamentally/suspects.py
@@ -2,6 +2,7 @@
 
 from cyclamentally.chart import runs_chart
 from cyclamentally.effects import Count, StateChanged
+from cyclamentally.model import CrashMark
 from cyclamentally.records import Record
 
 # Bounds the memory for marks.
@@ -26,6 +27,16 @@
         self.lifetime_s = lifetime_s
 
 
+class Suspects(Record):
+    """Fingerprints of the marked and of the quarantined requests."""
+
+    __slots__ = ("marked", "quarantined")
+
+    def __init__(self, marked=frozenset(), quarantined=frozenset()):
+        self.marked = marked
+        self.quarantined = quarantined
+
+
 class Crash(Record):
     """The crash of an upstream, with the time in seconds."""
 
@@ -49,13 +60,14 @@
         When it is quarantined, and for how long.
     """
 
-    __slots__ = ("addresses", "expires", "fingerprint", "rule", "state")
+    __slots__ = ("crashes", "expires", "fingerprint", "rule", "state")
 
     def __init__(self, fingerprint, rule):
         self.fingerprint = fingerprint
         self.rule = rule
         self.state = self.chart.initial
-        self.addresses = set()
+        # Upstreams that ended, and whether the request was a repeat there.
+        self.crashes = {}
         self.expires = 0.0
 
     def fire(self, event, crash=None):
@@ -64,24 +76,27 @@
         effects = self.chart.fire(self, event, crash)
         if self.state == "quarantined" != before:
             subject = f"request {self.fingerprint:016x}"
-            detail = ", ".join(sorted(self.addresses))
+            detail = ", ".join(sorted(self.crashes))
             effects.append(StateChanged(subject, "quarantined", detail))
             effects.append(Count("quarantines_total"))
         return effects
 
     def is_confirmed(self, crash):
-        """Whether a retry of the request has crashed enough upstreams."""
-        addresses = self.addresses | {crash.address}
-        return crash.is_repeat and len(addresses) >= self.rule.crashes
+        """Whether enough upstreams have crashed, one of them under a repeat.
+
+        The order does not count: nodes may learn of the crashes in any.
+        """
+        crashes = {**self.crashes, crash.address: crash.is_repeat}
+        return any(crashes.values()) and len(crashes) >= self.rule.crashes
 
     def add_mark(self, crash):
         """Add the upstream and extend the lifetime of the marks."""
-        self.addresses.add(crash.address)
+        self.crashes[crash.address] = crash.is_repeat
         self.expires = crash.now + self.rule.lifetime_s
 
     def clear(self, crash):
         """Drop the marks."""
-        self.addresses.clear()
+        self.crashes.clear()
 
 
 class MarkChanges(Record):
@@ -114,6 +129,20 @@
         suspects = self.suspects.values()
         return frozenset(s.fingerprint for s in suspects if s.state == state)
 
+    @property
+    def present(self):
+        """The `Suspects` at present."""
+        return Suspects(self.fingerprints("marked"), self.fingerprints("quarantined"))
+
+    @property
+    def marks(self):
+        """All `CrashMark` objects in the table."""
+        return [
+            CrashMark(suspect.fingerprint, address, is_repeat)
+            for suspect in self.suspects.values()
+            for address, is_repeat in suspect.crashes.items()
+        ]
+
     def add(self, marks, now):
         """Add crash marks; returns `MarkChanges`.
 
@@ -133,7 +162,7 @@
                     continue
                 suspect = SuspectRequest(mark.fingerprint, self.rule)
                 self.suspects[mark.fingerprint] = suspect
-            if mark.address in suspect.addresses:
+            if mark.address in suspect.crashes:
                 continue
             effects += suspect.fire("crash", Crash(mark.address, mark.is_repeat, now))
             fresh.append(mark)
--- a/packages/cyclamentally/cyclamentally/urgency.py
+++ b/packages/cyclamentally/cyclamentally/urgency.py
@@ -39,3 +39,18 @@
         usual = self.service_times.mean(running.ticket.route)
         # A request that exceeds the mean is assumed to need half the mean longer.
         return max(usual - (now - running.since), usual / 2)
+
+    def total_time(self, waiting, running, now):
+        """Return the expected time to run requests one after the other, in seconds.
+
+        Parameters
+        ----------
+        waiting : iterable of Ticket
+            Requests that have not started.
+        running : iterable of Running
+            Requests that have.
+        now : float
+            Time in seconds.
+        """
+        rest = sum(self.remaining_time(request, now) for request in running)
+        return rest + sum(self.service_times.mean(t.route) for t in waiting)
