Keep the limit of requests that an upstream names

Cause: nothing read the header.

Now the gate, which all requests for an upstream pass, starts them from a token bucket, and counts the limit in the expected wait, in the Retry-After of refusals and in the slots that it reports to senders, so that what does not fit is placed elsewhere or refused at once, the least urgent first. Odd values are ignored.

--- a/packages/cyclamentally-calls/cyclamentally_calls/decoding.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/decoding.py
@@ -61,6 +61,20 @@
     return int(text)
 
 
+def parse_decimal(text):
+    """Return the number of a text of ASCII digits with an optional fraction, or None.
+
+    Parameters
+    ----------
+    text : bytes
+        Each part at most `MAX_DIGITS` characters; signs and exponents are invalid.
+    """
+    whole, point, fraction = text.strip().partition(b".")
+    if parse_digits(whole) is None or (point and parse_digits(fraction) is None):
+        return None
+    return float(whole + point + fraction)
+
+
 def parse_address(text):
     """Return IP and port of ``IP:port``, or None if one cannot connect to it.
 
--- a/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/gate_task.py
@@ -52,6 +52,8 @@
 # requests are queued, so that those that cannot be served are refused early.
 TICK_WITH_QUEUE_S = 0.05
 TICK_S = 0.25
+# While a limit holds requests back, the check is due when the next one may start.
+MIN_TICK_S = 0.01
 
 
 class GateTask(Task, RequestHandler):
@@ -320,6 +322,7 @@
         self.client.send(work, effect.heartbeat, limit, on_result)
 
     def _finish(self, work, result):
+        self.monitor.read_statements(work.ticket.number, result)
         outcome = self.client.take_result(work, result)
         kind = getattr(outcome, "kind", None)
         if kind in (Kind.UPSTREAM_UNREACHABLE, Kind.UPSTREAM_LEFT):
@@ -362,8 +365,14 @@
     def _tick(self):
         self.loop.attempt(self._check_gate)
         self.loop.attempt(self._end_lost)
-        pause = TICK_WITH_QUEUE_S if self.gate.waiting else TICK_S
-        self.timer = self.loop.call_after(pause, self._tick)
+        self.timer = self.loop.call_after(self._pause(), self._tick)
+
+    def _pause(self):
+        """Return the time to the next check, in seconds."""
+        if not self.gate.waiting:
+            return TICK_S
+        delay = self.gate.rate_limit.delay(0, self.loop.clock())
+        return min(TICK_WITH_QUEUE_S, max(MIN_TICK_S, delay or TICK_WITH_QUEUE_S))
 
     def _end_lost(self):
         """End requests that an unexpected error has left without a next step."""
--- a/packages/cyclamentally-calls/cyclamentally_calls/header_names.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/header_names.py
@@ -32,6 +32,8 @@
         Name of the upstream, in responses to liveness checks.
     upstream_load : str
         Numbers of running requests, waiting requests and slots, comma-separated.
+    upstream_limit : str
+        Requests a second that the upstream takes, a decimal number.
     """
 
     __slots__ = (
@@ -41,6 +43,7 @@
         "not_run",
         "request_id",
         "signature",
+        "upstream_limit",
         "upstream_load",
         "upstream_name",
     )
@@ -55,6 +58,7 @@
         calling_service,
         upstream_name,
         upstream_load,
+        upstream_limit,
     ):
         self.request_id = HeaderName(request_id)
         self.deadline_ms = HeaderName(deadline_ms)
@@ -64,6 +68,7 @@
         self.calling_service = HeaderName(calling_service)
         self.upstream_name = HeaderName(upstream_name)
         self.upstream_load = HeaderName(upstream_load)
+        self.upstream_limit = HeaderName(upstream_limit)
 
     @property
     def set_by_node(self):
--- a/packages/cyclamentally-calls/cyclamentally_calls/upstream_codec.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/upstream_codec.py
@@ -2,7 +2,12 @@
 
 from cyclamentally.errors import Done, Kind, Refused
 from cyclamentally.gate_messages import Heartbeat
-from cyclamentally_calls.decoding import is_name, is_slots, parse_digits
+from cyclamentally_calls.decoding import (
+    is_name,
+    is_slots,
+    parse_decimal,
+    parse_digits,
+)
 from cyclamentally_calls.http_codec import Response, encode_request, end_to_end_headers
 from cyclamentally_calls.outcomes import Answered, Lost
 from cyclamentally_calls.peer_codec import PEER_HEADERS
@@ -70,6 +75,18 @@
     )
 
 
+def decode_limit(response, names):
+    """Return the requests a second that the upstream takes; None if it names none.
+
+    Of several values the lowest counts; those that are no decimal numbers do not.
+    """
+    name = names.upstream_limit.lower
+    if not response.find(name):
+        return None
+    values = [parse_decimal(v) for n, v in response.headers if n.lower() == name]
+    return min((value for value in values if value is not None), default=None)
+
+
 def encode_liveness(address, path):
     """Return the bytes of a liveness check of an upstream."""
     headers = [(b"Host", address.encode())]
--- a/packages/cyclamentally-calls/cyclamentally_calls/upstream_monitor.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/upstream_monitor.py
@@ -8,7 +8,9 @@
 from cyclamentally.publication import Publication
 from cyclamentally_calls.call_events import UpstreamChanged
 from cyclamentally_calls.loop import wall_time_ms
+from cyclamentally_calls.outcomes import Answered
 from cyclamentally_calls.suspect_events import SuspectAnswered, UpstreamCrashed
+from cyclamentally_calls.upstream_codec import HTTP_MISDIRECTED, decode_limit
 
 # After a loss, the other connections of an upstream that has ended fail within this
 # time.
@@ -114,6 +116,25 @@
                 examine = partial(self._examine_losses, now)
                 self.loss_timer = self.loop.call_after(COLLECT_S, examine)
 
+    def read_statements(self, number, result):
+        """Apply what the upstream says of itself in its response to a request.
+
+        Parameters
+        ----------
+        number : int
+            Number of the request at the gate.
+        result : Answered, NotSent or Lost
+            Result of sending it.
+        """
+        # A request that is no longer running went to an earlier lifetime.
+        if not isinstance(result, Answered) or number not in self.gate.running:
+            return
+        response = result.response
+        if response.status != HTTP_MISDIRECTED:
+            limit = decode_limit(response, self.client.names)
+            is_shedding = self.gate.shed_share.share > 0
+            self.gate.rate_limit.set_limit(limit, is_shedding, self.loop.clock())
+
     def check_silence(self):
         """Close the gate of an upstream that has sent no heartbeat for too long."""
         silence_s = self.loop.clock() - self.gate.last_heartbeat_at
--- a/packages/cyclamentally/cyclamentally/gate.py
+++ b/packages/cyclamentally/cyclamentally/gate.py
@@ -17,6 +17,7 @@
     StartWork,
 )
 from cyclamentally.isolation import Isolation
+from cyclamentally.rate_limit import RateLimit
 from cyclamentally.shedding import ShedShare
 from cyclamentally.uplink import Uplink
 from cyclamentally.urgency import Urgency
@@ -48,6 +49,7 @@
         "heartbeat",
         "isolation",
         "admitted_late",
+        "rate_limit",
         "running",
         "shed_share",
         "state",
@@ -71,6 +73,7 @@
         self.urgency = Urgency()
         self.shed_share = ShedShare()
         self.isolation = Isolation()
+        self.rate_limit = RateLimit()
 
     # Guards and actions of the chart.
 
@@ -111,6 +114,7 @@
         self.running = {}
         self.urgency = Urgency()
         self.shed_share = ShedShare()
+        self.rate_limit = RateLimit()
         return effects
 
     def note_heartbeat(self, heartbeat):
@@ -280,6 +284,8 @@
         slots = self.heartbeat.slots if self.heartbeat else 1
         usual = self.urgency.service_times.mean(route) + self.uplink.delay(route)
         share = self.shed_share.share
+        service_time_s = self.urgency.service_times.mean(route)
+        slots = self.rate_limit.slots(slots, service_time_s)
         return Load(len(self.running), len(self.waiting), slots, usual, share)
 
     def expected_wait(self, ticket, now):
@@ -291,15 +297,14 @@
         return wait
 
     def _wait_for_slot(self, ticket, now):
+        own = self.urgency.key(ticket, now)
+        ahead = [t for t in self.waiting if self.urgency.key(t, now) <= own]
+        delay = self.rate_limit.delay(len(ahead), now)
         free = self.heartbeat.slots - len(self.running) - len(self.waiting)
         if free > 0:
-            return 0.0
-        work = sum(self.urgency.remaining_time(r, now) for r in self.running.values())
-        own = self.urgency.key(ticket, now)
-        for other in self.waiting:
-            if self.urgency.key(other, now) <= own:
-                work += self.urgency.service_times.mean(other.route)
-        return work / self.heartbeat.slots
+            return delay
+        work = self.urgency.total_time(ahead, self.running.values(), now)
+        return max(delay, work / self.heartbeat.slots)
 
     def _exceeds_late_limit(self, ticket, now, wait):
         """Whether a request would miss its target and too many such are queued."""
@@ -325,19 +330,23 @@
         By then all running and queued requests are expected to be finished.
         """
         work = self.urgency.total_time(self.waiting, self.running.values(), now)
-        return max(MIN_RETRY_WAIT_S, work / self.heartbeat.slots)
+        delay = self.rate_limit.delay(len(self.waiting), now)
+        return max(MIN_RETRY_WAIT_S, delay, work / self.heartbeat.slots)
 
     def _start_waiting(self, now):
         if self.state != "open":
             return []
         effects = []
         while len(self.running) < self.heartbeat.slots:
+            if not self.waiting or self.rate_limit.delay(0, now) > 0:
+                break
             startable = self.isolation.startable(self.waiting, self.running)
             if not startable:
                 break
             ticket = min(startable, key=lambda t: self.urgency.key(t, now))
             self.waiting.remove(ticket)
             if self.urgency.meets_deadline(ticket, now):
+                self.rate_limit.take()
                 self.running[ticket.number] = Running(ticket, now)
                 effects.append(StartWork(ticket.number, self.heartbeat))
             else:
@@ -348,7 +357,16 @@
 
     def _expire_waiting(self, now):
         """Refuse requests that would miss their deadline, and excess late ones."""
-        out = [t for t in self.waiting if not self.urgency.meets_deadline(t, now)]
+        ordered = self.waiting
+        if self.rate_limit.rate is not None:
+            ordered = sorted(self.waiting, key=lambda t: self.urgency.key(t, now))
+        out = [
+            ticket
+            for ahead, ticket in enumerate(ordered)
+            if not self.urgency.meets_deadline(
+                ticket, now + self.rate_limit.delay(ahead, now)
+            )
+        ]
         late = [
             t for t in self.waiting if self.urgency.is_late(t, now) and t not in out
         ]
--- a/packages/cyclamentally/cyclamentally/placing.py
+++ b/packages/cyclamentally/cyclamentally/placing.py
@@ -47,6 +47,8 @@
 SHED_HALF_LIFE_S = 2.0
 # Upstreams that shed at most this share more than the best one are equal to it.
 SHED_TOLERANCE = 0.1
+# A limit that makes a gate report fewer slots may have ended after this time.
+REPORTED_SLOTS_S = 2.0
 # Exponential backoff for a host that does not answer or cannot reach its upstream.
 # The maximum lets a host that is back be found within about a heartbeat of its
 # upstream.
@@ -154,6 +156,16 @@
         faded = known * 0.5 ** (age / LOAD_HALF_LIFE_S)
         return max(self.in_flight, faded + self.sent_since_load)
 
+    def slots(self, now):
+        """Return the slots in use at most: fewer if the upstream limits its requests.
+
+        A gate reports with each load how many slots the limit keeps in use.
+        """
+        listed = self.entry.upstream.slots
+        if self.load is None or now - self.load_known_at >= REPORTED_SLOTS_S:
+            return listed
+        return min(listed, self.load.slots)
+
     def shed_share(self, now):
         """Return the expected share of requests that the upstream rejects."""
         if self.load is None or not self.load.shed_share:
@@ -168,7 +180,7 @@
             usual = DEFAULT_SERVICE_TIME_S
         elif usual is None:
             usual = self.slowness * self.typical_times.mean(route)
-        slots = self.entry.upstream.slots
+        slots = self.slots(now)
         excess = self.occupancy(now) + 1 - slots
         return usual * (1 + max(0.0, excess) / slots)
 
@@ -225,7 +237,7 @@
         return similar[0] if len(similar) == 1 else self.random.choice(similar)
 
     def _has_capacity(self, view, rule, now):
-        if view.occupancy(now) + 1 > MAX_OCCUPANCY_SHARE * view.entry.upstream.slots:
+        if view.occupancy(now) + 1 > MAX_OCCUPANCY_SHARE * view.slots(now):
             return False
         expected = view.finish_time(rule.name, now) + view.distance_s
         return TARGET_MARGIN * expected <= rule.target_s
