Stop requests to an upstream that leaves by its answer

Callers' requests still reached an upstream that had said Server-Leaving in an answer, until its heartbeat or its end (DRAIN). Cause: nothing read the header. Now the gate closes for that lifetime and publishes the departure, as after a heartbeat that says so, and each node that has passed such an answer on excludes the upstream by itself, also if the gate forgets in a restart while the store is away. An upstream that starts again under the same name is published with its start, which ends the exclusion; it ends after 60 s in any case, when the upstream is gone.

--- a/packages/cyclamentally-calls/cyclamentally_calls/header_names.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/header_names.py
@@ -34,6 +34,8 @@
         Numbers of running requests, waiting requests and slots, comma-separated.
     upstream_limit : str
         Requests a second that the upstream takes, a decimal number.
+    upstream_leaving : str
+        ``1`` if the upstream leaves.
     """
 
     __slots__ = (
@@ -43,6 +45,7 @@
         "not_run",
         "request_id",
         "signature",
+        "upstream_leaving",
         "upstream_limit",
         "upstream_load",
         "upstream_name",
@@ -59,6 +62,7 @@
         upstream_name,
         upstream_load,
         upstream_limit,
+        upstream_leaving,
     ):
         self.request_id = HeaderName(request_id)
         self.deadline_ms = HeaderName(deadline_ms)
@@ -69,6 +73,7 @@
         self.upstream_name = HeaderName(upstream_name)
         self.upstream_load = HeaderName(upstream_load)
         self.upstream_limit = HeaderName(upstream_limit)
+        self.upstream_leaving = HeaderName(upstream_leaving)
 
     @property
     def set_by_node(self):
--- a/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/outbound_task.py
@@ -42,6 +42,7 @@
 from cyclamentally_calls.loop import Task
 from cyclamentally_calls.offers import OfferSender
 from cyclamentally_calls.peer_codec import PEER_HEADERS, is_final
+from cyclamentally_calls.upstream_codec import says_leaving
 
 FIRST_SERVER_ERROR = 500
 
@@ -288,6 +289,8 @@
         if isinstance(outcome, Done):
             view.succeed()
             response = outcome.value
+            if says_leaving(response, self.names):
+                view.note_leaving(now)
             is_failure = response.status >= FIRST_SERVER_ERROR
             event = "failure_answer" if is_failure else "answer"
             result = OfferResult(response, None, now, nodes, is_final(response))
--- a/packages/cyclamentally-calls/cyclamentally_calls/upstream_codec.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/upstream_codec.py
@@ -87,6 +87,11 @@
     return min((value for value in values if value is not None), default=None)
 
 
+def says_leaving(response, names):
+    """Whether the upstream says in a response that it leaves."""
+    return response.find(names.upstream_leaving.lower).strip() == b"1"
+
+
 def encode_liveness(address, path):
     """Return the bytes of a liveness check of an upstream."""
     headers = [(b"Host", address.encode())]
--- a/packages/cyclamentally-calls/cyclamentally_calls/upstream_monitor.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/upstream_monitor.py
@@ -10,7 +10,11 @@
 from cyclamentally_calls.loop import wall_time_ms
 from cyclamentally_calls.outcomes import Answered
 from cyclamentally_calls.suspect_events import SuspectAnswered, UpstreamCrashed
-from cyclamentally_calls.upstream_codec import HTTP_MISDIRECTED, decode_limit
+from cyclamentally_calls.upstream_codec import (
+    HTTP_MISDIRECTED,
+    decode_limit,
+    says_leaving,
+)
 
 # After a loss, the other connections of an upstream that has ended fail within this
 # time.
@@ -130,7 +134,12 @@
         if not isinstance(result, Answered) or number not in self.gate.running:
             return
         response = result.response
-        if response.status != HTTP_MISDIRECTED:
+        if response.status == HTTP_MISDIRECTED:
+            return
+        if says_leaving(response, self.client.names):
+            if self.gate.state != "draining":
+                self.handle_report(UpstreamEnded(self.gate.heartbeat.upstream))
+        else:
             limit = decode_limit(response, self.client.names)
             is_shedding = self.gate.shed_share.share > 0
             self.gate.rate_limit.set_limit(limit, is_shedding, self.loop.clock())
--- a/packages/cyclamentally/cyclamentally/hosts.py
+++ b/packages/cyclamentally/cyclamentally/hosts.py
@@ -23,8 +23,9 @@
     is_leaving : bool
         Whether it gets no new requests.
     started_ms : int
-        Start of a lifetime that is leaving, Unix milliseconds; 0 otherwise. Tells a
-        restarted node which heartbeats are of a later lifetime.
+        Start of a lifetime that is leaving, or that follows one of the same name,
+        Unix milliseconds; 0 otherwise. Tells a restarted node which heartbeats are
+        of a later lifetime, and other nodes that an upstream is back.
     """
 
     __slots__ = ("name", "service", "slots", "is_leaving", "started_ms")
--- a/packages/cyclamentally/cyclamentally/placing.py
+++ b/packages/cyclamentally/cyclamentally/placing.py
@@ -34,6 +34,8 @@
 # An upstream that has left returns only under another entry, which has a view of its
 # own without a pause.
 LEFT_PAUSE_S = 2.0
+# An upstream that has told this node that it leaves is gone after this time.
+LEFT_MEMORY_S = 60.0
 # A restarted node knows its upstream after one liveness check or at the upstream's
 # next heartbeat.
 RESTART_PAUSE_S = 0.25
@@ -76,6 +78,7 @@
         "distance_s",
         "failures",
         "in_flight",
+        "left_until",
         "load",
         "paused_until",
         "load_known_at",
@@ -94,6 +97,8 @@
         self.distance_s = distance_s
         self.failures = 0
         self.in_flight = 0
+        # Time in seconds until which it gets no requests, since it leaves.
+        self.left_until = 0.0
         self.load = None
         self.paused_until = 0.0
         self.load_known_at = 0.0
@@ -129,6 +134,13 @@
         self.failures = 0
         self.paused_until = 0.0
 
+    def note_leaving(self, now):
+        """Exclude the upstream, which has told this node that it leaves.
+
+        Its gate may have forgotten that in a restart.
+        """
+        self.left_until = now + LEFT_MEMORY_S
+
     def fail(self, now):
         """Pause the upstream, which could not be reached, with exponential backoff."""
         pause = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2**self.failures)
@@ -271,6 +283,9 @@
             if view is None or view.entry.upstream.name != entry.upstream.name:
                 distance_s = self._distance(entry)
                 view = UpstreamView(entry, distance_s, self.typical_times)
+            if entry.upstream.started_ms > view.entry.upstream.started_ms:
+                # A later lifetime under the name of one that has left.
+                view.left_until = 0.0
             view.entry = entry
             known[entry.name] = view
         self.views = known
@@ -293,7 +308,9 @@
         paused = []
         for entry in entries:
             view = self.views.get(entry.name)
-            if view is None or entry.upstream.name in tried:
+            if view is None or now < view.left_until:
+                continue
+            if entry.upstream.name in tried:
                 continue
             (usable if view.paused_until <= now else paused).append(view)
         if not usable:
--- a/packages/cyclamentally/cyclamentally/publication.py
+++ b/packages/cyclamentally/cyclamentally/publication.py
@@ -6,9 +6,11 @@
 class Publication:
     """Decides when the entry of the upstream has to be written again."""
 
-    __slots__ = ("is_withdrawn", "published")
+    __slots__ = ("departed", "is_withdrawn", "published")
 
     def __init__(self):
+        # Name of the upstream that has left last.
+        self.departed = None
         self.is_withdrawn = False
         self.published = None
 
@@ -30,12 +32,15 @@
         is_open = gate.state == "open" and not self.is_withdrawn
         if self.published is None and not is_open:
             return None
+        if heartbeat.is_leaving:
+            self.departed = heartbeat.upstream
+        has_departed = heartbeat.upstream == self.departed
         entry = UpstreamEntry(
             heartbeat.upstream,
             heartbeat.service,
             heartbeat.slots,
             not is_open,
-            heartbeat.started_ms if heartbeat.is_leaving else 0,
+            heartbeat.started_ms if has_departed else 0,
         )
         if entry == self.published:
             return None
--- a/packages/cyclamentally/cyclamentally/tests/test_placing.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_placing.py
@@ -6,6 +6,7 @@
 from cyclamentally.gate_messages import Load
 from cyclamentally.hosts import HostEntry, UpstreamEntry
 from cyclamentally.placing import (
+    LEFT_MEMORY_S,
     LEFT_PAUSE_S,
     OVERLOAD_PAUSE_S,
     QUEUE_FULL_PAUSE_S,
@@ -114,3 +115,23 @@
     again = HostEntry("near", "d1", "r1", "10.0.0.1:1", upstream)
     views.update([again, *entries[1:]])
     assert choose(views, [again, *entries[1:]], now=0.1) == "near"
+
+
+def test_upstream_that_has_left_is_not_chosen_until_its_next_lifetime(views, entries):
+    views.views["near"].note_leaving(1.0)
+    assert choose(views, entries, now=2.0) == "aside"
+    views.update(entries)
+    assert choose(views, entries, now=2.0) == "aside"
+    assert choose(views, entries[:1], now=2.0) is None
+    later = entry("near")
+    later.upstream.started_ms = 9_000
+    views.update([later, *entries[1:]])
+    assert choose(views, [later, *entries[1:]], now=2.0) == "near"
+    views.views["near"].note_leaving(3.0)
+    views.update([later, *entries[1:]])
+    assert choose(views, [later, *entries[1:]], now=4.0) == "aside"
+
+
+def test_upstream_that_has_left_is_forgotten_when_it_is_gone(views, entries):
+    views.views["near"].note_leaving(1.0)
+    assert choose(views, entries, now=1.0 + LEFT_MEMORY_S) == "near"
