Read the delivery of crash marks from a chart, and bound what waits

Whether a node has yet to get marks was held in flags of the task that owns the sockets, and what waited for a node that does not answer had no bound.

--- a/packages/cyclamentally-calls/cyclamentally_calls/marks_codec.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/marks_codec.py
@@ -2,6 +2,7 @@
 
 from msgspec.json import encode
 
+from cyclamentally.mark_delivery import MarkUpdate
 from cyclamentally.model import CrashMark
 from cyclamentally_calls.decoding import (
     InvalidDataError,
@@ -19,29 +20,6 @@
 FINGERPRINT_DIGITS = 16
 
 
-class MarkUpdate:
-    """Crash marks, and fingerprints of requests that upstreams have answered since.
-
-    Parameters
-    ----------
-    marks : list of CrashMark
-        The marks.
-    cleared : list of int
-        Fingerprints of answered requests.
-    """
-
-    __slots__ = ("cleared", "marks")
-
-    def __init__(self, marks=(), cleared=()):
-        self.marks = list(marks)
-        self.cleared = list(cleared)
-
-    def extend(self, other):
-        """Append another `MarkUpdate`."""
-        self.marks += other.marks
-        self.cleared += other.cleared
-
-
 def encode_marks(update):
     """Return the bytes of a `MarkUpdate`."""
     marks = [
--- a/packages/cyclamentally-calls/cyclamentally_calls/suspect_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/suspect_task.py
@@ -3,6 +3,7 @@
 from functools import partial
 
 from cyclamentally.effects import Count, StateChanged
+from cyclamentally.mark_delivery import MarkDelivery, MarkUpdate
 from cyclamentally.quarantine import MARK_LIFETIME_S
 from cyclamentally.suspects import SuspectTable, SuspicionRule
 from cyclamentally_calls.call_events import HostsReplaced, PeerReply, ServiceChanged
@@ -12,7 +13,6 @@
 from cyclamentally_calls.marks_codec import (
     MARKS_TARGET,
     MAX_BODY_BYTES,
-    MarkUpdate,
     decode_marks,
     encode_marks,
 )
@@ -39,26 +39,6 @@
 MAX_ASKED = 3
 
 
-class Peer:
-    """Another node of the service.
-
-    Parameters
-    ----------
-    address : str
-        ``IP:port`` where it takes requests of other nodes.
-    """
-
-    __slots__ = ("address", "is_sending", "unlisted_since", "unsent")
-
-    def __init__(self, address):
-        self.address = address
-        # Time in seconds since when it is not listed; None while it is.
-        self.unlisted_since = None
-        self.is_sending = False
-        # The `MarkUpdate` that it has not acknowledged, or None.
-        self.unsent = None
-
-
 class SuspectTask(Task):
     """Hold crash marks, and exchange them with the other nodes of the service.
 
@@ -178,49 +158,46 @@
                 peer.unlisted_since = self.loop.clock()
         for name, address in listed.items():
             if name not in self.peers or self.peers[name].address != address:
-                self.peers[name] = Peer(address)
+                self.peers[name] = MarkDelivery(address)
         if self.peers and not self.has_asked:
             self.has_asked = True
             for peer in list(self.peers.values())[:MAX_ASKED]:
-                peer.unsent = MarkUpdate()
-                self._send(peer)
+                self._fire(peer, "share", MarkUpdate())
 
     def _share(self, update):
         """Send an update to all peers."""
         if not update.marks and not update.cleared:
             return
         for peer in self.peers.values():
-            peer.unsent = peer.unsent or MarkUpdate()
-            peer.unsent.extend(update)
-            self._send(peer)
+            self._fire(peer, "share", update)
 
-    def _send(self, peer):
-        if peer.is_sending or peer.unsent is None:
-            return
-        update, peer.unsent = peer.unsent, None
-        peer.is_sending = True
+    def _fire(self, peer, event, update=None):
+        for effect in peer.fire(event, update):
+            if not self.loop.attempt(self._send, peer, effect.update):
+                peer.fire("failed")
+
+    def _send(self, peer, update):
         headers = [(b"Host", peer.address.encode())]
-        data = encode_request(
-            b"POST", MARKS_TARGET, headers, encode_marks(update), True
+        body = encode_marks(update)
+        outgoing = OutgoingRequest(
+            encode_request(b"POST", MARKS_TARGET, headers, body, True),
+            None,
+            partial(self._handle_answer, peer),
+            max_body_bytes=MAX_BODY_BYTES,
         )
-        handle = partial(self._handle_answer, peer, update)
-        outgoing = OutgoingRequest(data, None, handle, max_body_bytes=MAX_BODY_BYTES)
         self.counters.add("mark_updates_sent_total")
         deadline = self.loop.clock() + SEND_TIMEOUT_S
         self.pool.send(peer.address, outgoing, deadline)
 
-    def _handle_answer(self, peer, update, result):
-        peer.is_sending = False
+    def _handle_answer(self, peer, result):
         if not isinstance(result, Answered):
-            # Sent again at the next tick.
-            update.extend(peer.unsent or MarkUpdate())
-            peer.unsent = update
+            self._fire(peer, "failed")
             return
-        # A node of an earlier build answers with an error.
+        # A node of an earlier build answers with an error, without marks.
         known = decode_marks(result.response.body)
         if known is not None:
             self._apply(known)
-        self._send(peer)
+        self._fire(peer, "answered")
 
     def _tick(self):
         self.timer = self.loop.call_after(TICK_S, self._tick)
@@ -232,4 +209,4 @@
             if since is not None and now - since >= PEER_MEMORY_S:
                 del self.peers[name]
             else:
-                self.loop.attempt(self._send, peer)
+                self._fire(peer, "retry")
--- a/packages/cyclamentally-calls/cyclamentally_calls/tests/test_marks_codec.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/tests/test_marks_codec.py
@@ -1,9 +1,9 @@
 import pytest
 
+from cyclamentally.mark_delivery import MarkUpdate
 from cyclamentally.model import CrashMark
 from cyclamentally_calls.marks_codec import (
     MAX_BODY_BYTES,
-    MarkUpdate,
     decode_marks,
     encode_marks,
 )
--- a/packages/cyclamentally/cyclamentally/tests/test_chart.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_chart.py
@@ -13,6 +13,7 @@
 from cyclamentally.hosts import ListedHost
 from cyclamentally.idempotency import Claim
 from cyclamentally.lifecycle import NodeLifecycle
+from cyclamentally.mark_delivery import MarkDelivery
 from cyclamentally.members import Member
 from cyclamentally.readiness import Readiness
 from cyclamentally.registration import Registration
@@ -31,6 +32,7 @@
     Endpoint,
     Feed,
     NodeLifecycle,
+    MarkDelivery,
     Member,
     Relay,
     RequestAttempts,
