Tell the gates of all services of a request that is suspended

A configuration may move a route to another service, or split it. The gates there knew nothing of the marks, so that three more upstreams of that service ended under a request that was refused elsewhere. By reading; no play has shown it. The gate that reports the decisive end now sends the marks of that request to the nodes of all services, once, and again until acknowledged. test_gates_of_other_services_refuse_a_suspended_request failed before (the gate of the other service did not know within 8 s) and passes; so do the five other tests of the file.

--- a/packages/cyclamentally-calls/cyclamentally_calls/suspect_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/suspect_task.py
@@ -44,7 +44,8 @@
 
     Marks go to all nodes beside upstreams of the service when an upstream ends, and
     again until each of them has acknowledged them or is gone. All requests for an
-    upstream pass its gate, so no other node needs them.
+    upstream pass its gate, so no other node needs them. Those of a request that is
+    suspended go to the nodes of all services, since routes may change.
 
     Parameters
     ----------
@@ -63,7 +64,9 @@
     """
 
     __slots__ = (
+        "by_service",
         "counters",
+        "distant",
         "gate",
         "has_asked",
         "log",
@@ -87,7 +90,10 @@
         self.pool = ConnectionPool(
             loop, IDLE_TIMEOUT_S, CONNECT_TIMEOUT_S, ACK_TIMEOUT_S
         )
+        self.by_service = {}
+        # Deliveries by host, in this service and in others.
         self.peers = {}
+        self.distant = {}
         self.has_asked = False
         self.timer = None
 
@@ -103,17 +109,27 @@
     def receive(self, message):
         """Handle a message from another task."""
         if isinstance(message, UpstreamCrashed):
-            self._share(self._apply(MarkUpdate(message.marks)))
+            self._report_crash(message.marks)
         elif isinstance(message, SuspectAnswered):
             self._share(self._apply(MarkUpdate([], [message.fingerprint])))
         elif isinstance(message, MarksRequest):
             self._handle_request(message)
         elif isinstance(message, HostsReplaced):
+            self.by_service = message.by_service
             self._update_peers(message.by_service.get(self.service, ()))
         elif isinstance(message, ServiceChanged):
             self.service = message.service
             self.peers.clear()
 
+    def _report_crash(self, marks):
+        known = self.table.present.quarantined
+        self._share(self._apply(MarkUpdate(marks)))
+        suspended = self.table.present.quarantined - known
+        if suspended:
+            self._share_with_all(
+                [mark for mark in self.table.marks if mark.fingerprint in suspended]
+            )
+
     def _apply(self, update):
         """Apply a `MarkUpdate`; returns the part of it that was new."""
         cleared = self.table.clear(update.cleared)
@@ -171,6 +187,15 @@
         for peer in self.peers.values():
             self._fire(peer, "share", update)
 
+    def _share_with_all(self, marks):
+        """Send the marks of suspended requests to the nodes of other services."""
+        for entry in (e for group in self.by_service.values() for e in group):
+            if entry.name == self.place.name or entry.name in self.peers:
+                continue
+            if entry.name not in self.distant:
+                self.distant[entry.name] = MarkDelivery(entry.address)
+            self._fire(self.distant[entry.name], "share", MarkUpdate(marks))
+
     def _fire(self, peer, event, update=None):
         for effect in peer.fire(event, update):
             if not self.loop.attempt(self._send, peer, effect.update):
@@ -204,9 +229,19 @@
         now = self.loop.clock()
         if self.table.expire(now):
             self._notify_gate()
+        if self.distant:
+            self._send_again_to_distant()
         for name, peer in list(self.peers.items()):
             since = peer.unlisted_since
             if since is not None and now - since >= PEER_MEMORY_S:
                 del self.peers[name]
             else:
                 self._fire(peer, "retry")
+
+    def _send_again_to_distant(self):
+        listed = {e.name for group in self.by_service.values() for e in group}
+        for name, peer in list(self.distant.items()):
+            if peer.state == "idle" or name not in listed:
+                del self.distant[name]
+            else:
+                self._fire(peer, "retry")
