Answer crash marks with those of the same requests only

Now only a node that has just started gets all, and others those of the requests that they name. A node that learns the decisive mark from such an answer also tells the nodes of other services. By reading; tests of the marks pass, one for marks of named requests is new.

--- a/packages/cyclamentally-calls/cyclamentally_calls/suspect_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/suspect_task.py
@@ -124,11 +124,7 @@
     def _report_crash(self, marks):
         known = self.table.present.quarantined
         self._share(self._apply(MarkUpdate(marks)))
-        suspended = self.table.present.quarantined - known
-        if suspended:
-            self._share_with_all(
-                [mark for mark in self.table.marks if mark.fingerprint in suspended]
-            )
+        self._share_suspended(known)
 
     def _apply(self, update):
         """Apply a `MarkUpdate`; returns the part of it that was new."""
@@ -160,7 +156,11 @@
             request.fail(self.loop)
             return
         self._apply(update)
-        body = encode_marks(MarkUpdate(self.table.marks))
+        # A node that has just started sends nothing, and gets all.
+        wanted = {mark.fingerprint for mark in update.marks}
+        if update.is_empty:
+            wanted = self.table.suspects
+        body = encode_marks(MarkUpdate(self.table.marks_of(wanted)))
         self.loop.post(request.sender, PeerReply(request.exchange, body))
 
     # Requests to other nodes.
@@ -182,19 +182,29 @@
 
     def _share(self, update):
         """Send an update to all peers."""
-        if not update.marks and not update.cleared:
+        if update.is_empty:
             return
         for peer in self.peers.values():
             self._fire(peer, "share", update)
 
-    def _share_with_all(self, marks):
-        """Send the marks of suspended requests to the nodes of other services."""
+    def _share_suspended(self, known):
+        """Send the marks of requests that are newly suspended to all other nodes.
+
+        Parameters
+        ----------
+        known : frozenset of int
+            Fingerprints of those that were suspended before.
+        """
+        suspended = self.table.present.quarantined - known
+        if not suspended:
+            return
+        update = MarkUpdate(self.table.marks_of(suspended))
         for entry in (e for group in self.by_service.values() for e in group):
             if entry.name == self.place.name or entry.name in self.peers:
                 continue
             if entry.name not in self.distant:
                 self.distant[entry.name] = MarkDelivery(entry.address)
-            self._fire(self.distant[entry.name], "share", MarkUpdate(marks))
+            self._fire(self.distant[entry.name], "share", update)
 
     def _fire(self, peer, event, update=None):
         for effect in peer.fire(event, update):
@@ -219,9 +229,12 @@
             self._fire(peer, "failed")
             return
         # A node of an earlier build answers with an error, without marks.
-        known = decode_marks(result.response.body)
-        if known is not None:
-            self._apply(known)
+        update = decode_marks(result.response.body)
+        if update is not None:
+            known = self.table.present.quarantined
+            self._apply(update)
+            if peer.sent.marks:
+                self._share_suspended(known)
         self._fire(peer, "answered")
 
     def _tick(self):
--- a/packages/cyclamentally/cyclamentally/mark_delivery.py
+++ b/packages/cyclamentally/cyclamentally/mark_delivery.py
@@ -24,6 +24,11 @@
         self.marks = list(marks)
         self.cleared = list(cleared)
 
+    @property
+    def is_empty(self):
+        """Whether it says nothing."""
+        return not self.marks and not self.cleared
+
     def followed_by(self, later):
         """Return this update with a later one, without the oldest of too many."""
         return MarkUpdate(
--- a/packages/cyclamentally/cyclamentally/suspects.py
+++ b/packages/cyclamentally/cyclamentally/suspects.py
@@ -134,12 +134,12 @@
         """The `Suspects` at present."""
         return Suspects(self.fingerprints("marked"), self.fingerprints("quarantined"))
 
-    @property
-    def marks(self):
-        """All `CrashMark` objects in the table."""
+    def marks_of(self, fingerprints):
+        """Return all `CrashMark` objects of requests with some fingerprints."""
+        found = [self.suspects[x] for x in fingerprints if x in self.suspects]
         return [
             CrashMark(suspect.fingerprint, address, is_repeat)
-            for suspect in self.suspects.values()
+            for suspect in found
             for address, is_repeat in suspect.crashes.items()
         ]
 
--- a/packages/cyclamentally/cyclamentally/tests/test_isolation.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_isolation.py
@@ -101,3 +101,10 @@
     assert not table.expire(LIFETIME_S - 1.0)
     assert table.expire(LIFETIME_S)
     assert table.present == suspects()
+
+
+def test_marks_are_found_by_request(table):
+    first, second = CrashMark(FIRST, "u1", True), CrashMark(SECOND, "u1", False)
+    table.add([first, second], 0.0)
+    assert table.marks_of([FIRST, OTHER]) == [first]
+    assert table.marks_of(table.suspects) == [first, second]
