Keep the product's control messages out of nodes on the platform

gate_checks and SuspectTask took the lifetime of marks from quarantine.py, which loads the control plane's messages into every node on the users' platform, where memory is charged. The constant stands in suspects.py now. 19 tests pass; no change of behaviour, memory not measured.

--- a/packages/cyclamentally-calls/cyclamentally_calls/suspect_task.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/suspect_task.py
@@ -4,8 +4,7 @@
 
 from cyclamentally.effects import Count, StateChanged
 from cyclamentally.mark_delivery import MarkDelivery, MarkUpdate
-from cyclamentally.quarantine import MARK_LIFETIME_S
-from cyclamentally.suspects import SuspectTable, SuspicionRule
+from cyclamentally.suspects import MARK_LIFETIME_S, SuspectTable, SuspicionRule
 from cyclamentally_calls.call_events import HostsReplaced, PeerReply, ServiceChanged
 from cyclamentally_calls.client_connection import ConnectionPool
 from cyclamentally_calls.http_codec import encode_request
--- a/packages/cyclamentally/cyclamentally/gate_checks.py
+++ b/packages/cyclamentally/cyclamentally/gate_checks.py
@@ -1,7 +1,7 @@
 """Checks of a request that arrives at a gate."""
 
 from cyclamentally.errors import Kind, Refused
-from cyclamentally.quarantine import MARK_LIFETIME_S
+from cyclamentally.suspects import MARK_LIFETIME_S
 
 
 def find_refusal(gate, ticket):
--- a/packages/cyclamentally/cyclamentally/quarantine.py
+++ b/packages/cyclamentally/cyclamentally/quarantine.py
@@ -3,10 +3,9 @@
 from cyclamentally.call_messages import CrashMarks
 from cyclamentally.effects import SuspectsChanged
 from cyclamentally.hashing import hash_bytes
-from cyclamentally.suspects import SuspectTable, SuspicionRule
+from cyclamentally.suspects import MARK_LIFETIME_S, SuspectTable, SuspicionRule
 
 CRASHES_TO_QUARANTINE = 2
-MARK_LIFETIME_S = 600.0
 
 
 class Quarantine:
--- a/packages/cyclamentally/cyclamentally/suspects.py
+++ b/packages/cyclamentally/cyclamentally/suspects.py
@@ -5,6 +5,8 @@
 from cyclamentally.model import CrashMark
 from cyclamentally.records import Record
 
+# Time from the last crash until the marks of a request expire.
+MARK_LIFETIME_S = 600.0
 # Bounds the memory for marks.
 MAX_SUSPECTS = 2_000
 
--- a/packages/cyclamentally/cyclamentally/tests/test_quarantine.py
+++ b/packages/cyclamentally/cyclamentally/tests/test_quarantine.py
@@ -1,7 +1,8 @@
 import pytest
 
 from cyclamentally.model import CrashMark
-from cyclamentally.quarantine import MARK_LIFETIME_S, fingerprint_of
+from cyclamentally.quarantine import fingerprint_of
+from cyclamentally.suspects import MARK_LIFETIME_S
 
 POISON = fingerprint_of("GET", "/pairings/0", b"")
 
