Check an upstream that may have ended at the address of its heartbeats

After a lost request with nothing else running, the node asked for the liveness of the address in its settings. An upstream whose heartbeats name another address then counted as unreachable, and callers got 503 until its next heartbeat. Found by the whole suite on: test_request_ends_whatever_ raises_on_two_nodes [between] and [between always] got 503 in place of 200; they name the fault, and pass with the address of the heartbeat.

--- a/packages/cyclamentally-calls/cyclamentally_calls/upstream_client.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/upstream_client.py
@@ -95,20 +95,23 @@
         on_heartbeat : callable
             Takes the `Heartbeat` of a live upstream.
         """
-        self._send_check(path, partial(self._handle_liveness_result, on_heartbeat))
+        handle = partial(self._handle_liveness_result, on_heartbeat)
+        self._send_check(self.local_upstream.address, path, handle)
 
-    def check_reachable(self, path, on_unreachable):
+    def check_reachable(self, address, path, on_unreachable):
         """Send one liveness check to find out whether the upstream takes connections.
 
         Parameters
         ----------
+        address : str
+            ``IP:port`` that its heartbeats name.
         path : str
             Path of the check.
         on_unreachable : callable
             Called if it takes none.
         """
         handle = partial(self._handle_reachability, on_unreachable)
-        self._send_check(path, handle)
+        self._send_check(address, path, handle)
 
     def take_result(self, work, result):
         """Return the outcome of a request, ``Done`` or ``Refused``."""
@@ -125,12 +128,12 @@
             )
         return outcome
 
-    def _send_check(self, path, handle):
-        data = encode_liveness(self.local_upstream.address, path)
+    def _send_check(self, address, path, handle):
+        data = encode_liveness(address, path)
         outgoing = OutgoingRequest(data, None, handle)
         self.counters.add("probes_total")
         deadline = self.loop.clock() + LIVENESS_TIMEOUT_S
-        self.pool.send(self.local_upstream.address, outgoing, deadline)
+        self.pool.send(address, outgoing, deadline)
 
     def _handle_reachability(self, on_unreachable, result):
         if isinstance(result, NotSent):
--- a/packages/cyclamentally-calls/cyclamentally_calls/upstream_monitor.py
+++ b/packages/cyclamentally-calls/cyclamentally_calls/upstream_monitor.py
@@ -163,7 +163,10 @@
             return
         is_alive = any(r.since < lost_at for r in self.gate.running.values())
         if self.gate.state == "open" and not is_alive and self.health_path:
-            self.client.check_reachable(self.health_path, self._handle_unreachable)
+            address = self.gate.heartbeat.address
+            self.client.check_reachable(
+                address, self.health_path, self._handle_unreachable
+            )
 
     def _handle_unreachable(self):
         if self.gate.state == "open":
