--- a/packages/cyclamentally-testing/cyclamentally_testing/call_baselines.py
+++ b/packages/cyclamentally-testing/cyclamentally_testing/call_baselines.py
@@ -2,6 +2,7 @@
 
 from cyclamentally.gate import Gate
 from cyclamentally.placing import Placement
+from cyclamentally.urgency import Urgency
 
 
 class RandomPlacement(Placement):
@@ -23,13 +24,25 @@
         return self.random.choice(views)
 
 
-class FifoGate(Gate):
-    """Serves tickets first in, first out; refuses only at their deadline."""
+class FifoUrgency(Urgency):
+    """Orders tickets by their arrival; none counts as late."""
 
     __slots__ = ()
 
-    def _queue_key(self, ticket, now):
+    def key(self, ticket, now):
+        """Return the number of a ticket, which grows."""
         return ticket.number
 
-    def _is_late(self, ticket, start):
+    def is_late(self, ticket, start):
+        """Return False."""
         return False
+
+
+class FifoGate(Gate):
+    """Serves tickets first in, first out; refuses only at their deadline."""
+
+    __slots__ = ()
+
+    def make_urgency(self):
+        """Return the order of arrival."""
+        return FifoUrgency()
--- a/packages/cyclamentally/cyclamentally/gate.py
+++ b/packages/cyclamentally/cyclamentally/gate.py
@@ -70,11 +70,15 @@
         # their target.
         self.admitted_late = set()
         self.running = {}
-        self.urgency = Urgency()
+        self.urgency = self.make_urgency()
         self.shed_share = ShedShare()
         self.isolation = Isolation()
         self.rate_limit = RateLimit()
 
+    def make_urgency(self):
+        """Return the order of requests for a new lifetime of the upstream."""
+        return Urgency()
+
     # Guards and actions of the chart.
 
     def is_next_lifetime(self, heartbeat):
@@ -112,7 +116,7 @@
         effects = self.refuse_waiting(heartbeat)
         self.heartbeat = heartbeat
         self.running = {}
-        self.urgency = Urgency()
+        self.urgency = self.make_urgency()
         self.shed_share = ShedShare()
         self.rate_limit = RateLimit()
         return effects
@@ -202,9 +206,8 @@
         """Apply the `Suspects` known at present; returns effects."""
         self.isolation.suspects = suspects
         out = [t for t in self.waiting if t.fingerprint in suspects.quarantined]
-        self.waiting = [t for t in self.waiting if t not in out]
         for ticket in out:
-            self.uplink.release(ticket.number)
+            self.cancel(ticket.number)
         refusals = [RefuseWork(t.number, suspended(t)) for t in out]
         return refusals + self._start_waiting(now)
 
@@ -229,9 +232,8 @@
             detail = f"{ticket.service}: answer would miss its target on the full link"
             hint = self.uplink.delay(ticket.route)
             return [RefuseWork(ticket.number, Refused(Kind.LINK_FULL, detail, hint))]
-        if not self.urgency.meets_deadline(
-            ticket, now + wait
-        ) or self._exceeds_late_limit(ticket, now, wait):
+        is_in_time = self.urgency.meets_deadline(ticket, now + wait)
+        if not is_in_time or self._exceeds_late_limit(ticket, now, wait):
             detail = (
                 f"expected wait {wait:.3f} s, {len(self.waiting)} requests queued, "
                 f"{ticket.expires - now:.3f} s to the deadline"
@@ -282,10 +284,10 @@
     def load(self, route):
         """Return the `Load`; the delay on the link is part of its expected time."""
         slots = self.heartbeat.slots if self.heartbeat else 1
-        usual = self.urgency.service_times.mean(route) + self.uplink.delay(route)
-        share = self.shed_share.share
         service_time_s = self.urgency.service_times.mean(route)
+        usual = service_time_s + self.uplink.delay(route)
         slots = self.rate_limit.slots(slots, service_time_s)
+        share = self.shed_share.share
         return Load(len(self.running), len(self.waiting), slots, usual, share)
 
     def expected_wait(self, ticket, now):
@@ -360,12 +362,10 @@
         ordered = self.waiting
         if self.rate_limit.rate is not None:
             ordered = sorted(self.waiting, key=lambda t: self.urgency.key(t, now))
+        starts = [now + self.rate_limit.delay(n, now) for n in range(len(ordered))]
+        meets = self.urgency.meets_deadline
         out = [
-            ticket
-            for ahead, ticket in enumerate(ordered)
-            if not self.urgency.meets_deadline(
-                ticket, now + self.rate_limit.delay(ahead, now)
-            )
+            t for t, start in zip(ordered, starts, strict=True) if not meets(t, start)
         ]
         late = [
             t for t in self.waiting if self.urgency.is_late(t, now) and t not in out
