--- a/review/3/case.py
+++ b/review/3/case.py
@@ -15,9 +15,9 @@
 )
 
 # For how long the store turns the machine away; the site file names up to 9 s.
-TURNED_AWAY_S = 1.5
+TURNED_AWAY_S = 0.8
 # The change of the configuration, after the beginning of that time.
-CHANGE_AFTER_S = 0.5
+CHANGE_AFTER_S = 0.4
 JUDGED_S = 6.0
 STABLE_S = BOUNDS["stable_window_ms"] / 1000
 STRETCH_S = BOUNDS["max_stretch_ms"] / 1000
