--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,5 +1,6 @@
 """A node whose watch has lost its answer stays on the old configuration."""
 
+import os
 import sys
 import time
 from pathlib import Path
@@ -88,4 +89,6 @@
 
 
 if __name__ == "__main__":
-    run(play, str(Path(__file__).parent))
+    # With TROUBLE=0 the same is played without the disruption.
+    is_troubled = os.environ.get("TROUBLE", "1") != "0"
+    run(play, str(Path(__file__).parent), is_troubled)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,5 +1,6 @@
 """A departure confirmed in the last second of a planned stop is forgotten."""
 
+import os
 import socket
 import sys
 import threading
@@ -93,4 +94,6 @@
 
 
 if __name__ == "__main__":
-    run(play, str(Path(__file__).parent))
+    # With TROUBLE=0 the same is played without the disruption.
+    is_troubled = os.environ.get("TROUBLE", "1") != "0"
+    run(play, str(Path(__file__).parent), is_troubled)
--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -58,6 +58,7 @@
 }
 HEARTBEAT_S = 1.5
 RESTART_S = 0.7
+LONGEST_RUN_S = 115
 
 
 class Record:
@@ -79,11 +80,15 @@
             file.write(f"{self.now():9.3f} s  {text}\n")
 
 
-def free_port(ip):
-    """Return a port that is free on an address."""
-    with socket.socket() as probe:
+def free_ports(ip, count):
+    """Return different ports that are free on an address."""
+    probes = [socket.socket() for _ in range(count)]
+    for probe in probes:
         probe.bind((ip, 0))
-        return probe.getsockname()[1]
+    ports = [probe.getsockname()[1] for probe in probes]
+    for probe in probes:
+        probe.close()
+    return ports
 
 
 class QuietServer(ThreadingHTTPServer):
@@ -427,14 +432,17 @@
         self.record.write(f"server {self.name} runs {request_id} {handler.path}")
         self.work(handler, request_id)
 
-    def work(self, handler, request_id):
-        """Run a request and answer it."""
-        time.sleep(self.work_s)
+    def work(self, handler, request_id, work_s=None):
+        """Run a request and answer it; stop at the deadline that came with it."""
+        left_s = int(handler.headers.get("X-Deadline-Ms") or 60_000) / 1000
+        work_s = self.work_s if work_s is None else work_s
+        time.sleep(min(work_s, left_s))
         if self.has_ended:
             handler.close_connection = True
             return
         headers = {"X-Request-Id": request_id, "X-Server-Signature": SIGNATURE}
-        self._answer(handler, OK, headers, self.name.encode())
+        status = OK if work_s <= left_s else 504
+        self._answer(handler, status, headers, self.name.encode())
 
     def _answer(self, handler, status, headers, body):
         handler.send_response(status)
@@ -498,8 +506,8 @@
         self.zone = zone
         self.service = service
         self.door = store.open_door()
-        self.app_address = f"{self.ip}:{free_port(self.ip)}"
-        ports = [free_port(self.ip) for _ in range(5)]
+        app_port, *ports = free_ports(self.ip, 6)
+        self.app_address = f"{self.ip}:{app_port}"
         names = ("inbound", "outbound", "readiness", "control")
         self.listen = {
             name: f"{self.ip}:{port}" for name, port in zip(names, ports, strict=False)
@@ -778,7 +786,11 @@
             self.threads = [t for t in self.threads if t.is_alive()] + [thread]
 
 
-def run(case, folder):
+def _stop(number, frame):
+    raise RuntimeError(f"ended by {signal.Signals(number).name}")
+
+
+def run(case, folder, is_troubled):
     """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 on an error.
 
     Parameters
@@ -788,9 +800,15 @@
         close; returns a list of texts, one for each break of the rule.
     folder : str
         Folder of the case.
+    is_troubled : bool
+        Whether the disruption is played.
     """
     record = Record(Path(folder, "record.txt"))
-    is_troubled = os.environ.get("TROUBLE", "1") != "0"
+    record.write(f"with{'' if is_troubled else 'out'} the disruption")
+    # A script that is ended, or takes too long, ends its processes all the same.
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, _stop)
+    signal.alarm(LONGEST_RUN_S)
     to_close = []
     code = 2
     try:
